Thin whole path: a request, a look-up, an intent and its watch on real sockets

Cause: the project starts empty; everything else needs a frame to grow in. Conclusion: the frame stands; the decisions follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets for developers. CI calls .ci/run, which calls these.
+
+MODULES := core entry mpctl standin trial
+GOLANGCI_VERSION := v2.15.0
+
+.PHONY: build fmt fmt-check lint vet test tools tidy
+
+build:
+	go build -o bin/ ./entry ./mpctl ./standin ./trial
+
+tools:
+	@golangci-lint version 2>/dev/null | grep -q '$(GOLANGCI_VERSION:v%=%)' || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+fmt:
+	golangci-lint fmt $(MODULES:%=./%/...)
+
+fmt-check:
+	@test -z "$$(golangci-lint fmt --diff $(MODULES:%=./%/...) | tee /dev/stderr)"
+
+lint:
+	golangci-lint run $(MODULES:%=./%/...)
+
+vet:
+	go vet $(MODULES:%=./%/...)
+
+test:
+	go test -race $(MODULES:%=./%/...)
+
+tidy:
+	for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
--- /dev/null
+++ b/core/models/platform/store.go
@@ -0,0 +1,88 @@
+// Package platform speaks to the platform's key-value service and its list of instances.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the store accepts.
+const MaxValueBytes = 1 << 20
+
+// Entry is one key with its value.
+type Entry struct {
+	Key   string
+	Value []byte
+	// Version changes with every write of the key and is never zero for an existing key.
+	Version uint64
+}
+
+// Store is the seam to the key-value service. Every call ends by its context's deadline or by a bound of its own.
+type Store struct {
+	// Get returns one entry, or ErrKeyNotExist.
+	Get func(ctx context.Context, key string) (Entry, error)
+	// Put writes a value if the key still has the expected version; zero expects that the key does not exist.
+	// It returns ErrConflict if it has not written, and ErrOutcomeUnknown if it cannot tell.
+	Put func(ctx context.Context, key string, value []byte, expected uint64) error
+	// Delete removes a key if it still has the expected version.
+	Delete func(ctx context.Context, key string, expected uint64) error
+	// List returns all entries whose keys start with the prefix, sorted by key.
+	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// WaitFor returns the entry of a key as soon as it exists with a version other than known, or
+	// ErrKeyNotExist or the unchanged entry when the wait is over.
+	WaitFor func(ctx context.Context, key string, known uint64, wait time.Duration) (Entry, error)
+}
+
+// Listed is an instance in the platform's list, which lags.
+type Listed struct {
+	ID      string
+	Leaving bool
+}
+
+// Registry is the seam to the platform's list of instances.
+type Registry struct {
+	// List returns the live and leaving instances that the platform knows of.
+	List func(ctx context.Context) ([]Listed, error)
+}
+
+// ErrKeyNotExist is returned for a key that the store does not hold.
+type ErrKeyNotExist struct {
+	Key string
+}
+
+// Error implements error.
+func (e *ErrKeyNotExist) Error() string { return fmt.Sprintf("key %q does not exist", e.Key) }
+
+// ErrConflict is returned for a write that was not applied since the key had another version.
+type ErrConflict struct {
+	Key string
+}
+
+// Error implements error.
+func (e *ErrConflict) Error() string { return fmt.Sprintf("key %q has another version", e.Key) }
+
+// ErrOutcomeUnknown is returned for a write that may or may not have been applied.
+type ErrOutcomeUnknown struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrOutcomeUnknown) Error() string {
+	return fmt.Sprintf("write of %q: outcome unknown: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrOutcomeUnknown) Unwrap() error { return e.Cause }
+
+// ErrUnavailable is returned for a call that the store did not answer and that changed nothing.
+type ErrUnavailable struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrUnavailable) Error() string { return fmt.Sprintf("store unavailable: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ErrUnavailable) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/core/modules/peer/peer.go
@@ -0,0 +1,173 @@
+// Package peer carries calls between instances: net/rpc over TCP, with a deadline on each call and a new connection
+// after a silent one.
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount let the kernel notice a dead connection.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// ErrUnreachable is returned for a call that got no answer; the peer may have run it.
+type ErrUnreachable struct {
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ErrUnreachable) Error() string {
+	return "peer " + e.Address + " unreachable: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ErrUnreachable) Unwrap() error { return e.Cause }
+
+// Client calls one peer. It dials when first used and again after a connection has failed or gone silent.
+type Client struct {
+	address string
+
+	mu sync.Mutex
+	// connection is nil until the next call dials.
+	connection *rpc.Client
+}
+
+// NewClient returns a client for a peer address.
+func NewClient(address string) *Client { return &Client{address: address} }
+
+// Call calls a method; the context must have a deadline. A call that ends without an answer closes the connection,
+// so that its answer can reach nobody when it arrives late.
+func Call[A, R any](ctx context.Context, c *Client, method string, args A) (R, error) {
+	var none R
+	connection, err := c.connect(ctx)
+	if err != nil {
+		return none, &ErrUnreachable{Address: c.address, Cause: err}
+	}
+	reply := new(R)
+	call := connection.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		c.drop(connection)
+		return none, &ErrUnreachable{Address: c.address, Cause: context.Cause(ctx)}
+	}
+	var remote rpc.ServerError
+	if call.Error != nil && !errors.As(call.Error, &remote) {
+		c.drop(connection)
+		return none, &ErrUnreachable{Address: c.address, Cause: call.Error}
+	}
+	return *reply, call.Error
+}
+
+// Close closes the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connection != nil {
+		_ = c.connection.Close()
+		c.connection = nil
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connection != nil {
+		return c.connection, nil
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive()}
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	c.connection = rpc.NewClient(raw)
+	return c.connection, nil
+}
+
+func (c *Client) drop(broken *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = broken.Close()
+	if c.connection == broken {
+		c.connection = nil
+	}
+}
+
+// Server answers the calls of peers.
+type Server struct {
+	rpc *rpc.Server
+
+	mu sync.Mutex
+	// connections holds the open connections; nil after Close.
+	connections map[net.Conn]struct{}
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), connections: map[net.Conn]struct{}{}}
+}
+
+// Register adds the methods of a receiver under a name.
+func (s *Server) Register(name string, receiver any) error { return s.rpc.RegisterName(name, receiver) }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		connection, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetKeepAliveConfig(keepAlive())
+		}
+		if s.add(connection) {
+			go s.serve(connection)
+		}
+	}
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		_ = c.Close()
+	}
+	s.connections = nil
+}
+
+func (s *Server) serve(c net.Conn) {
+	s.rpc.ServeConn(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connections == nil {
+		_ = c.Close()
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
--- /dev/null
+++ b/core/modules/refusal/refusal.go
@@ -0,0 +1,116 @@
+// Package refusal defines the typed errors that callers and operators receive, and their JSON form.
+package refusal
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// NotRunHeader marks a refusal whose request has certainly not been run by any target.
+const NotRunHeader = "Medlarpond-Not-Run"
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// The reasons that callers and operators can receive.
+const (
+	NoRoute          Reason = "no-route"
+	NoKey            Reason = "no-key"
+	UnknownKey       Reason = "unknown-key"
+	TeamNotPermitted Reason = "team-not-permitted"
+	RateExceeded     Reason = "rate-exceeded"
+	Overloaded       Reason = "overloaded"
+	NoTarget         Reason = "no-target"
+	Unconfirmed      Reason = "instance-unconfirmed"
+	Leaving          Reason = "instance-leaving"
+	DeadlineTooShort Reason = "deadline-too-short"
+	DuplicateRequest Reason = "duplicate-request"
+	CrashSuspected   Reason = "crash-suspected"
+	BodyTooLarge     Reason = "body-too-large"
+	UpgradeRefused   Reason = "upgrade-not-supported"
+	TargetFailed     Reason = "target-failed"
+	OutcomeUnknown   Reason = "outcome-unknown"
+	Malformed        Reason = "malformed"
+	NotFound         Reason = "not-found"
+	Invalid          Reason = "invalid"
+	VersionRequired  Reason = "version-required"
+	VersionConflict  Reason = "version-conflict"
+	VersionTooOld    Reason = "version-too-old"
+	StoreUnavailable Reason = "store-unavailable"
+	Internal         Reason = "internal"
+)
+
+// Refusal is an error answer with everything that its receiver can act on.
+type Refusal struct {
+	// Status is the HTTP status code.
+	Status int
+	// Reason is one of the constants of this package.
+	Reason Reason
+	// Message explains the refusal to a person and never contains a key.
+	Message string
+	// NotRun is true only if no byte of the request can have reached code that runs it.
+	NotRun bool
+	// RetryAfter is how long to wait before sending again; zero leaves it out.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Reason) + ": " + r.Message }
+
+// Retryable reports whether sending the same request again can succeed without a change to it.
+func (r *Refusal) Retryable() bool {
+	return r.RetryAfter > 0
+}
+
+// WithRetryAfter returns a copy that asks the receiver to wait before sending again.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.RetryAfter = d
+	return &c
+}
+
+// New returns a refusal of a request that was not run.
+func New(status int, reason Reason, message string) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Message: message, NotRun: true}
+}
+
+// NewRan returns a refusal of a request that a target may have run.
+func NewRan(status int, reason Reason, message string) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Message: message}
+}
+
+type wireBody struct {
+	Error wireError `json:"error"`
+}
+
+type wireError struct {
+	Reason            Reason  `json:"reason"`
+	Message           string  `json:"message"`
+	NotRun            bool    `json:"not-run"`
+	Retryable         bool    `json:"retryable"`
+	RetryAfterSeconds float64 `json:"retry-after-seconds,omitempty"`
+}
+
+// Write sends the refusal as an HTTP answer.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	if r.NotRun {
+		h.Set(NotRunHeader, "true")
+	}
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(r.Status)
+	_ = json.NewEncoder(w).Encode(wireBody{Error: wireError{
+		Reason:            r.Reason,
+		Message:           r.Message,
+		NotRun:            r.NotRun,
+		Retryable:         r.Retryable(),
+		RetryAfterSeconds: r.RetryAfter.Seconds(),
+	}})
+}
--- /dev/null
+++ b/core/routers/caller/caller.go
@@ -0,0 +1,162 @@
+// Package caller answers callers: look-ups of instances and requests to services.
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlarpond.dev/core/modules/meter"
+	"medlarpond.dev/core/modules/refusal"
+	"medlarpond.dev/core/services/dispatch"
+	"medlarpond.dev/core/services/membership"
+	"medlarpond.dev/core/services/target"
+)
+
+const (
+	// copyBufferBytes is the size of the buffers through which bodies stream.
+	copyBufferBytes = 32 << 10
+	// openTeam is the team label of requests on routes that are open to all.
+	openTeam = "open"
+	// noClass is the class label of requests that no service took.
+	noClass = "none"
+)
+
+// Router serves the callers' address.
+type Router struct {
+	dispatcher *dispatch.Dispatcher
+	locate     func(r *http.Request, service string) (Located, *refusal.Refusal)
+	meter      *meter.Meter
+	logger     *zap.Logger
+	buffers    sync.Pool
+	mux        *http.ServeMux
+}
+
+// Located is the answer to a look-up.
+type Located struct {
+	// Instances are in the order in which the caller should try them.
+	Instances []membership.Member
+	// TTL is how long the caller may cache the answer.
+	TTL time.Duration
+}
+
+// New returns the router; locate answers look-ups.
+func New(
+	dispatcher *dispatch.Dispatcher,
+	locate func(r *http.Request, service string) (Located, *refusal.Refusal),
+	m *meter.Meter,
+	logger *zap.Logger,
+) *Router {
+	t := &Router{dispatcher: dispatcher, locate: locate, meter: m, logger: logger, mux: http.NewServeMux()}
+	t.buffers.New = func() any { return new([copyBufferBytes]byte) }
+	t.mux.HandleFunc("GET /medlarpond/v1/lookup", t.lookup)
+	t.mux.HandleFunc("/", t.request)
+	return t
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
+
+type wireInstance struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure-domain"`
+}
+
+type wireLookup struct {
+	Instances  []wireInstance `json:"instances"`
+	TTLSeconds float64        `json:"ttl-seconds"`
+}
+
+func (t *Router) lookup(w http.ResponseWriter, r *http.Request) {
+	located, refused := t.locate(r, r.URL.Query().Get("service"))
+	if refused != nil {
+		t.refuse(w, refused)
+		return
+	}
+	answer := wireLookup{Instances: []wireInstance{}, TTLSeconds: located.TTL.Seconds()}
+	for _, m := range located.Instances {
+		answer.Instances = append(answer.Instances, wireInstance{
+			ID: m.ID, Address: m.Caller, Region: m.Region, FailureDomain: m.FailureDomain,
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (t *Router) request(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	result, refused := t.dispatcher.Dispatch(r)
+	if refused != nil {
+		t.refuse(w, refused)
+		t.meter.Observe(openTeam, noClass, time.Since(started))
+		return
+	}
+	defer result.Release()
+	defer func() { t.meter.Observe(teamLabel(result.Team), result.Service, time.Since(started)) }()
+	t.stream(w, result.Response)
+}
+
+func (t *Router) refuse(w http.ResponseWriter, refused *refusal.Refusal) {
+	t.meter.Count("medlarpond_refusals_total", "reason", string(refused.Reason))
+	refused.Write(w)
+}
+
+// stream copies the target's answer. An answer that breaks off breaks the caller's connection too, so that it never
+// looks whole.
+func (t *Router) stream(w http.ResponseWriter, response *http.Response) {
+	defer func() { _ = response.Body.Close() }()
+	h := w.Header()
+	target.RemoveHopByHop(response.Header)
+	for name, values := range response.Header {
+		h[name] = values
+	}
+	for name := range response.Trailer {
+		h.Add("Trailer", name)
+	}
+	w.WriteHeader(response.StatusCode)
+	if err := t.copyBody(w, response); err != nil {
+		t.logger.Info("answer broke off", zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range response.Trailer {
+		h[name] = values
+	}
+}
+
+func (t *Router) copyBody(w http.ResponseWriter, response *http.Response) error {
+	buffer, _ := t.buffers.Get().(*[copyBufferBytes]byte)
+	defer t.buffers.Put(buffer)
+	streaming := response.ContentLength < 0
+	flusher := http.NewResponseController(w)
+	for {
+		n, err := response.Body.Read(buffer[:])
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			if streaming {
+				_ = flusher.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func teamLabel(team string) string {
+	if team == "" {
+		return openTeam
+	}
+	return team
+}
--- /dev/null
+++ b/core/routers/operator/errors.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/modules/refusal"
+	"medlarpond.dev/core/services/configuration"
+)
+
+// storeRetryAfter is what an operator is told to wait while the store cannot be reached.
+const storeRetryAfter = 2 * time.Second
+
+// refusalOf maps an error of the services to the answer that the operator gets.
+func refusalOf(err error) *refusal.Refusal {
+	var (
+		kind        *resource.ErrKindNotExist
+		missing     *resource.ErrNotExist
+		malformed   *resource.ErrMalformed
+		invalid     *resource.ErrInvalid
+		inUse       *resource.ErrInUse
+		required    *configuration.ErrVersionRequired
+		conflict    *configuration.ErrVersionConflict
+		tooOld      *configuration.ErrVersionTooOld
+		unknown     *configuration.ErrUnknown
+		unavailable *configuration.ErrStoreUnavailable
+		tooLarge    *http.MaxBytesError
+	)
+	switch {
+	case errors.As(err, &kind), errors.As(err, &missing):
+		return refusal.New(http.StatusNotFound, refusal.NotFound, err.Error())
+	case errors.As(err, &malformed):
+		return refusal.New(http.StatusBadRequest, refusal.Malformed, err.Error())
+	case errors.As(err, &invalid):
+		return refusal.New(http.StatusUnprocessableEntity, refusal.Invalid, err.Error())
+	case errors.As(err, &inUse), errors.As(err, &conflict):
+		return refusal.New(http.StatusConflict, refusal.VersionConflict, err.Error())
+	case errors.As(err, &required):
+		return refusal.New(http.StatusPreconditionRequired, refusal.VersionRequired, err.Error())
+	case errors.As(err, &tooOld):
+		return refusal.New(http.StatusGone, refusal.VersionTooOld, err.Error())
+	case errors.As(err, &unknown):
+		return refusal.NewRan(http.StatusGatewayTimeout, refusal.OutcomeUnknown, err.Error())
+	case errors.As(err, &unavailable):
+		return refusal.New(http.StatusServiceUnavailable, refusal.StoreUnavailable, err.Error()).WithRetryAfter(storeRetryAfter)
+	case errors.As(err, &tooLarge):
+		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
+	default:
+		return refusal.NewRan(http.StatusInternalServerError, refusal.Internal, err.Error())
+	}
+}
--- /dev/null
+++ b/core/services/configuration/errors.go
@@ -0,0 +1,81 @@
+package configuration
+
+import "fmt"
+
+// ErrGap is returned for a change that does not follow the state's revision.
+type ErrGap struct {
+	Have, Got uint64
+}
+
+// Error implements error.
+func (e *ErrGap) Error() string {
+	return fmt.Sprintf("change %d does not follow revision %d", e.Got, e.Have)
+}
+
+// ErrDiverged is returned for a change whose history differs from the state's.
+type ErrDiverged struct {
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ErrDiverged) Error() string {
+	return fmt.Sprintf("change %d belongs to another history than the one in force", e.Revision)
+}
+
+// ErrVersionTooOld is returned when the changes after a version are no longer held.
+type ErrVersionTooOld struct {
+	Oldest uint64
+}
+
+// Error implements error.
+func (e *ErrVersionTooOld) Error() string {
+	return fmt.Sprintf("version is too old; list again and watch from %d or later", e.Oldest)
+}
+
+// ErrVersionRequired is returned for a write that does not name the version it read.
+type ErrVersionRequired struct{}
+
+// Error implements error.
+func (e *ErrVersionRequired) Error() string {
+	return "name the version that you read, so that nobody's change is overwritten unseen"
+}
+
+// ErrVersionConflict is returned for a write that was not applied since the resource has another version.
+type ErrVersionConflict struct {
+	// Have is the version in force; zero if the resource does not exist.
+	Have uint64
+	// By and Why name the change that won.
+	By, Why string
+}
+
+// Error implements error.
+func (e *ErrVersionConflict) Error() string {
+	if e.Have == 0 {
+		return "not applied: the resource does not exist"
+	}
+	return fmt.Sprintf("not applied: the resource has version %d, by %s: %s", e.Have, e.By, e.Why)
+}
+
+// ErrUnknown is returned for a write that may or may not have been applied.
+type ErrUnknown struct {
+	// ID is the change to ask for later.
+	ID string
+}
+
+// Error implements error.
+func (e *ErrUnknown) Error() string {
+	return fmt.Sprintf("the store did not say whether change %s was applied; ask for it again later", e.ID)
+}
+
+// ErrStoreUnavailable is returned for a write that was not applied since the store cannot be reached.
+type ErrStoreUnavailable struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrStoreUnavailable) Error() string {
+	return fmt.Sprintf("not applied: the store cannot be reached: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrStoreUnavailable) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/core/services/configuration/state.go
@@ -0,0 +1,145 @@
+package configuration
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"medlarpond.dev/core/models/resource"
+)
+
+// HistoryLength is the number of changes that an instance holds for history and watches.
+const HistoryLength = 10_000
+
+// View is the configuration in force at one revision; it is immutable.
+type View struct {
+	Snapshot resource.Snapshot
+	Revision uint64
+	Chain    Chain
+}
+
+// State holds the configuration in force at one instance. Its revision never decreases.
+type State struct {
+	view atomic.Pointer[View]
+
+	mu sync.Mutex
+	// history holds the latest records without gaps, the newest last.
+	history []Record
+	// changed is closed and replaced on every change.
+	changed chan struct{}
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	s := &State{changed: make(chan struct{})}
+	s.view.Store(&View{Snapshot: resource.NewSnapshot()})
+	return s
+}
+
+// View returns the configuration in force.
+func (s *State) View() *View { return s.view.Load() }
+
+// Apply puts the next change in force. A change that is in force already is ignored.
+func (s *State) Apply(r Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view.Load()
+	if r.Revision <= v.Revision {
+		return s.checkKnown(r)
+	}
+	if r.Revision != v.Revision+1 {
+		return &ErrGap{Have: v.Revision, Got: r.Revision}
+	}
+	if r.Previous != v.Chain {
+		return &ErrDiverged{Revision: r.Revision}
+	}
+	s.view.Store(&View{Snapshot: applied(v.Snapshot, r.Change), Revision: r.Revision, Chain: r.Chain})
+	s.history = append(s.history, r)
+	if len(s.history) > HistoryLength {
+		s.history = slices.Clone(s.history[len(s.history)-HistoryLength:])
+	}
+	s.broadcast()
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// WaitFor waits until the given revision is in force.
+func (s *State) WaitFor(ctx context.Context, revision uint64) error {
+	for {
+		changed := s.Changed()
+		if s.View().Revision >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// After returns up to limit records that follow the given revision.
+func (s *State) After(revision uint64, limit int) ([]Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.view.Load().Revision
+	if revision >= current {
+		return nil, nil
+	}
+	oldest := current - uint64(len(s.history))
+	if revision < oldest {
+		return nil, &ErrVersionTooOld{Oldest: oldest}
+	}
+	records := s.history[revision-oldest:]
+	if len(records) > limit {
+		records = records[:limit]
+	}
+	return slices.Clone(records), nil
+}
+
+// Find returns the change with the given identifier, if it is still held.
+func (s *State) Find(id string) (Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range slices.Backward(s.history) {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+// checkKnown reports whether a change that is not newer agrees with the history held.
+func (s *State) checkKnown(r Record) error {
+	oldest := s.view.Load().Revision - uint64(len(s.history))
+	if r.Revision <= oldest {
+		return nil
+	}
+	if s.history[r.Revision-oldest-1].Chain != r.Chain {
+		return &ErrDiverged{Revision: r.Revision}
+	}
+	return nil
+}
+
+func (s *State) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func applied(s resource.Snapshot, c Change) resource.Snapshot {
+	switch c.Action {
+	case ActionCreate, ActionUpdate:
+		return s.With(c.Resource.WithVersion(c.Revision))
+	case ActionDelete:
+		return s.Without(c.Resource.Kind, c.Resource.Name)
+	default:
+		return s
+	}
+}
--- /dev/null
+++ b/core/services/configuration/writer_test.go
@@ -0,0 +1,83 @@
+package configuration_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"medlarpond.dev/core/models/platform"
+	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/services/configuration"
+	standin "medlarpond.dev/core/standin/platform"
+)
+
+func createRegion(name string) configuration.Request {
+	return configuration.Request{
+		Actor: "a", Reason: "r", Action: configuration.ActionCreate,
+		Resource: resource.Resource{Kind: resource.KindRegion, Name: name, Spec: resource.Region{Capacity: 1}},
+	}
+}
+
+// TestLostAnswers checks that the reply to a writer is true whatever became of the store's answer.
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		// mended takes the faults away shortly after the write has begun.
+		mended bool
+		// unknown and unavailable say which error is the true one; neither means applied.
+		unknown, unavailable bool
+	}{
+		{name: "no fault"},
+		{name: "answer lost after the write", faults: standin.Faults{LoseWriteAnswer: true}},
+		{name: "write lost, then mended", faults: standin.Faults{LoseWrite: true}, mended: true},
+		{name: "write lost for long", faults: standin.Faults{LoseWrite: true}, unknown: true},
+		{name: "store down", faults: standin.Faults{Down: true}, unavailable: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := standin.New()
+			server := httptest.NewServer(p)
+			defer server.Close()
+			store, _ := platform.NewHTTP(server.URL, time.Second)
+			state := configuration.NewState()
+			p.SetFaults(test.faults)
+			if test.mended {
+				time.AfterFunc(50*time.Millisecond, func() { p.SetFaults(standin.Faults{}) })
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			record, err := configuration.NewWriter(store, state).Write(ctx, createRegion("r1"))
+			var unknown *configuration.ErrUnknown
+			var unavailable *configuration.ErrStoreUnavailable
+			if errors.As(err, &unknown) != test.unknown || errors.As(err, &unavailable) != test.unavailable {
+				t.Fatalf("got error %v", err)
+			}
+			if err != nil {
+				return
+			}
+			if _, ok := state.View().Snapshot.Get(resource.KindRegion, "r1"); !ok {
+				t.Errorf("change %d was reported applied and is not in force", record.Revision)
+			}
+		})
+	}
+}
+
+// TestRace checks that of two writers on the same version one learns that it lost, and who won.
+func TestRace(t *testing.T) {
+	server := httptest.NewServer(standin.New())
+	defer server.Close()
+	store, _ := platform.NewHTTP(server.URL, time.Second)
+	first := configuration.NewWriter(store, configuration.NewState())
+	second := configuration.NewWriter(store, configuration.NewState())
+	if _, err := first.Write(context.Background(), createRegion("r1")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := second.Write(context.Background(), createRegion("r1"))
+	var conflict *configuration.ErrVersionConflict
+	if !errors.As(err, &conflict) || conflict.By != "a" {
+		t.Fatalf("got %v, want a conflict that names the winner", err)
+	}
+}
--- /dev/null
+++ b/core/services/target/sender.go
@@ -0,0 +1,211 @@
+// Package target speaks HTTP to targets: one attempt at a time, with no retry of its own.
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes an idle connection before most middleboxes forget it.
+	idleTimeout = 20 * time.Second
+	// freshIdleTimeout is the idle age up to which a connection may carry a request that must not run twice.
+	freshIdleTimeout = 2 * time.Second
+	// maxIdlePerTarget bounds the idle connections to one target.
+	maxIdlePerTarget = 64
+	// keepAliveIdle, keepAliveInterval and keepAliveCount bound the silence of a connection that is in use.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = 1 * time.Second
+	keepAliveCount    = 3
+	// maxResponseHeaderBytes bounds the headers of an answer.
+	maxResponseHeaderBytes = 256 << 10
+)
+
+// TimeoutHeader tells a target how many seconds are left for its answer.
+const TimeoutHeader = "Request-Timeout"
+
+// idempotencyHeader is sent in lower case: under its canonical name it would make the transport retry by itself.
+const (
+	idempotencyHeader  = "idempotency-key"
+	xIdempotencyHeader = "x-idempotency-key"
+)
+
+// Sender sends attempts to targets.
+type Sender struct {
+	// pooled serves requests that may run twice; fresh never uses a connection that was idle for long.
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// ErrNotSent is returned for an attempt of which no byte reached a target.
+type ErrNotSent struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrNotSent) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrNotSent) Unwrap() error { return e.Cause }
+
+// ErrBroken is returned for an attempt that may have run and whose answer did not arrive.
+type ErrBroken struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrBroken) Error() string { return "broken after sending: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Cause }
+
+// NewSender returns a sender with empty connection pools.
+func NewSender() *Sender {
+	return &Sender{pooled: newTransport(idleTimeout), fresh: newTransport(freshIdleTimeout)}
+}
+
+// Close closes the idle connections.
+func (s *Sender) Close() {
+	s.pooled.CloseIdleConnections()
+	s.fresh.CloseIdleConnections()
+}
+
+// Attempt is one request to one target.
+type Attempt struct {
+	// Address is the target's IP number and port.
+	Address string
+	// Method, URI and Host come from the caller.
+	Method, URI, Host string
+	// Header is owned by the attempt, without hop-by-hop fields and keys.
+	Header http.Header
+	// Body is nil for a request without a body.
+	Body io.Reader
+	// ContentLength is -1 if unknown.
+	ContentLength int64
+	// Trailer holds the caller's trailers, filled while the body is read.
+	Trailer http.Header
+	// Idempotent is true for a request that may run more than once.
+	Idempotent bool
+}
+
+// Send makes the attempt. The context bounds the whole answer, its body included.
+func (s *Sender) Send(ctx context.Context, a Attempt) (*http.Response, error) {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	request, err := http.NewRequestWithContext(ctx, a.Method, "http://"+a.Address+a.URI, nil)
+	if err != nil {
+		return nil, &ErrNotSent{Cause: err}
+	}
+	request.Host = a.Host
+	request.Header = a.Header
+	setBody(request, a)
+	hideIdempotencyKey(request.Header)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline), 0)
+		request.Header.Set(TimeoutHeader, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	}
+	response, err := s.transport(a).RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if !connected {
+		return nil, &ErrNotSent{Cause: err}
+	}
+	return nil, &ErrBroken{Cause: err}
+}
+
+func (s *Sender) transport(a Attempt) *http.Transport {
+	if a.Idempotent {
+		return s.pooled
+	}
+	return s.fresh
+}
+
+// setBody gives the request a body that the transport cannot rewind, so that the transport never retries by itself.
+func setBody(request *http.Request, a Attempt) {
+	request.GetBody = nil
+	if a.Body != nil {
+		request.Body = io.NopCloser(a.Body)
+		request.ContentLength = a.ContentLength
+		request.Trailer = a.Trailer
+		return
+	}
+	switch a.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		request.Body = emptyBody{}
+	default:
+		request.Body = http.NoBody
+	}
+}
+
+// emptyBody is a body without content that, unlike http.NoBody, the transport does not take for replayable.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
+
+func hideIdempotencyKey(h http.Header) {
+	for _, name := range []string{idempotencyHeader, xIdempotencyHeader} {
+		canonical := textproto.CanonicalMIMEHeaderKey(name)
+		if values, ok := h[canonical]; ok {
+			delete(h, canonical)
+			h[name] = values
+		}
+	}
+}
+
+func newTransport(idle time.Duration) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+}
+
+// IsNotSent reports whether an error proves that no byte of the attempt reached a target.
+func IsNotSent(err error) bool {
+	var e *ErrNotSent
+	return errors.As(err, &e)
+}
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHopByHop deletes the headers that must not be passed on.
+func RemoveHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/core/settings/instance.go
@@ -0,0 +1,21 @@
+package settings
+
+import "regexp"
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Instance says which instance this is and where it stands.
+type Instance struct {
+	// ID is unique among the instances that run at the same time.
+	ID string `yaml:"id"`
+	// Region and FailureDomain name the place of the instance.
+	Region        string `yaml:"region"`
+	FailureDomain string `yaml:"failure-domain"`
+}
+
+func (i Instance) check(c *checker) {
+	const fix = "is missing or impossible; use 1 to 63 lower-case letters, digits and hyphens"
+	c.require(namePattern.MatchString(i.ID), "instance.id", fix)
+	c.require(namePattern.MatchString(i.Region), "instance.region", fix)
+	c.require(namePattern.MatchString(i.FailureDomain), "instance.failure-domain", fix)
+}
--- /dev/null
+++ b/core/settings/membership.go
@@ -0,0 +1,19 @@
+package settings
+
+import "time"
+
+// Membership says when an instance counts as confirmed.
+type Membership struct {
+	// ConfirmTimeout is how long keyed routes are served after the last contact with the store or a majority of instances.
+	ConfirmTimeout time.Duration `yaml:"confirm-timeout"`
+}
+
+// maxConfirmTimeout keeps a withdrawn key from working for longer than the promised 5 s.
+const maxConfirmTimeout = 4 * time.Second
+
+func defaultMembership() Membership { return Membership{ConfirmTimeout: 3 * time.Second} }
+
+func (m Membership) check(c *checker) {
+	c.require(m.ConfirmTimeout >= time.Second && m.ConfirmTimeout <= maxConfirmTimeout,
+		"membership.confirm-timeout", "must be from 1s to 4s")
+}
--- /dev/null
+++ b/core/settings/requests.go
@@ -0,0 +1,31 @@
+package settings
+
+import "time"
+
+// Requests holds what bounds a caller's request.
+type Requests struct {
+	// HeaderTimeout bounds the time to read a request's headers.
+	HeaderTimeout time.Duration `yaml:"header-timeout"`
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes int `yaml:"max-header-bytes"`
+	// IdleTimeout closes a caller's connection that is idle for longer.
+	IdleTimeout time.Duration `yaml:"idle-timeout"`
+	// LookupTTL is how long callers may cache the answer to a look-up.
+	LookupTTL time.Duration `yaml:"lookup-ttl"`
+}
+
+func defaultRequests() Requests {
+	return Requests{
+		HeaderTimeout:  5 * time.Second,
+		MaxHeaderBytes: 64 << 10,
+		IdleTimeout:    90 * time.Second,
+		LookupTTL:      5 * time.Second,
+	}
+}
+
+func (r Requests) check(c *checker) {
+	c.require(r.HeaderTimeout > 0, "requests.header-timeout", "must be a positive time span such as 5s")
+	c.require(r.MaxHeaderBytes >= 1<<10, "requests.max-header-bytes", "must be at least 1024")
+	c.require(r.IdleTimeout > 0, "requests.idle-timeout", "must be a positive time span such as 90s")
+	c.require(r.LookupTTL >= time.Second, "requests.lookup-ttl", "must be at least 1s")
+}
--- /dev/null
+++ b/core/standin/target/target.go
@@ -0,0 +1,95 @@
+// Package target is a small stand-in for a back end: it echoes requests, holds slots, reports its load and drains.
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// ShedHeader marks an answer by which the stand-in refuses a request that it has not run.
+const ShedHeader = "X-Shed"
+
+// Target is one stand-in back end; use it as an http.Handler.
+type Target struct {
+	// Name is returned with every answer.
+	Name string
+	// Slots is the number of requests that run at once; further requests are shed.
+	Slots int64
+	// Work is how long a request runs.
+	Work time.Duration
+
+	running atomic.Int64
+	peak    atomic.Int64
+	served  atomic.Int64
+	shed    atomic.Int64
+}
+
+// Load is what the load endpoint reports.
+type Load struct {
+	Name    string `json:"name"`
+	Slots   int64  `json:"slots"`
+	Running int64  `json:"running"`
+	Peak    int64  `json:"peak"`
+	Served  int64  `json:"served"`
+	Shed    int64  `json:"shed"`
+}
+
+// New returns a target with the given slots and work for each request.
+func New(name string, slots int64, work time.Duration) *Target {
+	return &Target{Name: name, Slots: slots, Work: work}
+}
+
+// Load returns the present load.
+func (t *Target) Load() Load {
+	return Load{
+		Name: t.Name, Slots: t.Slots, Running: t.running.Load(),
+		Peak: t.peak.Load(), Served: t.served.Load(), Shed: t.shed.Load(),
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/healthz":
+		_, _ = io.WriteString(w, "ok\n")
+	case "/load":
+		_ = json.NewEncoder(w).Encode(t.Load())
+	default:
+		t.serve(w, r)
+	}
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	running := t.running.Add(1)
+	defer t.running.Add(-1)
+	if running > t.Slots {
+		t.shed.Add(1)
+		w.Header().Set(ShedHeader, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	for peak := t.peak.Load(); running > peak && !t.peak.CompareAndSwap(peak, running); peak = t.peak.Load() {
+	}
+	t.served.Add(1)
+	if t.Work > 0 {
+		select {
+		case <-time.After(t.Work):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("X-Target", t.Name)
+	w.Header().Set("Content-Type", "text/plain")
+	if r.Method == http.MethodPost {
+		if r.ContentLength >= 0 {
+			w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+		}
+		_, _ = io.Copy(w, r.Body)
+		return
+	}
+	_, _ = io.WriteString(w, t.Name+" "+r.URL.Path+"\n")
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,88 @@
+// Command medlarpond-entry runs one entry instance.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	flags "github.com/jessevdk/go-flags"
+
+	"medlarpond.dev/core/instance"
+	"medlarpond.dev/core/models/platform"
+	"medlarpond.dev/core/modules/logging"
+	"medlarpond.dev/core/settings"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"settings file in YAML" required:"yes"`
+}
+
+type runCommand struct {
+	Arguments fileArgument `positional-args:"yes"`
+}
+
+type checkCommand struct {
+	Arguments fileArgument `positional-args:"yes"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("medlarpond-entry", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "an entry instance of medlarpond"
+	_, _ = parser.AddCommand("run", "run the instance", "Runs the instance until SIGTERM or SIGINT, then stops gracefully.", &runCommand{})
+	_, _ = parser.AddCommand("check", "check a settings file", "Checks a settings file without starting.", &checkCommand{})
+	_, err := parser.Parse()
+	os.Exit(report(err))
+}
+
+// report prints an error and returns the exit code that belongs to it.
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Println(help.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var invalid *settings.ErrInvalids
+	if errors.As(err, &invalid) || errors.As(err, &help) {
+		return exitSettings
+	}
+	return exitFailed
+}
+
+// Execute checks the file.
+func (c *checkCommand) Execute([]string) error {
+	if _, err := settings.Load(c.Arguments.File); err != nil {
+		return err
+	}
+	fmt.Println(c.Arguments.File + ": ok")
+	return nil
+}
+
+// Execute runs the instance.
+func (c *runCommand) Execute([]string) error {
+	s, err := settings.Load(c.Arguments.File)
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stderr, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	store, _ := platform.NewHTTP(s.Platform.URL, s.Platform.CallTimeout)
+	return instance.New(s, store, logger).Run(ctx)
+}
--- /dev/null
+++ b/mpctl/main.go
@@ -0,0 +1,122 @@
+// Command mpctl is the operators' program: it reads and changes steering intents through the resource API.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+
+	flags "github.com/jessevdk/go-flags"
+
+	"medlarpond.dev/mpctl/api"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitNotFound = 3
+	exitConflict = 4
+	exitUnknown  = 5
+)
+
+// options are the flags that all commands share.
+type options struct {
+	Server string `long:"server" env:"MEDLARPOND_SERVER" default:"http://127.0.0.1:7201" description:"operator address of any entry instance"`
+	Output string `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"output format"`
+	Actor  string `long:"actor" env:"MEDLARPOND_ACTOR" description:"who makes the change (default: the login name)"`
+	Reason string `short:"m" long:"reason" description:"why the change is made; required for changes"`
+}
+
+// program is what every command works with.
+type program struct {
+	options options
+	ctx     context.Context //nolint:containedctx // the lifetime of one invocation
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	p := &program{ctx: ctx}
+	_, err := newParser(p).Parse()
+	stop()
+	os.Exit(report(err))
+}
+
+// newParser builds the command line.
+func newParser(p *program) *flags.Parser {
+	parser := flags.NewNamedParser("mpctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "read and change the steering intents of medlarpond"
+	parser.LongDescription = helpText
+	_, _ = parser.AddGroup("Options", "", &p.options)
+	for _, c := range commands(p) {
+		_, _ = parser.AddCommand(c.name, c.short, c.long, c.data)
+	}
+	keys := parser.Find("keys")
+	_, _ = keys.AddCommand("grant", "grant a key to a team", "Creates a key for a team and prints it once; only its hash is kept.", &grantCommand{program: p})
+	_, _ = keys.AddCommand("withdraw", "withdraw a key", "Withdraws a key; it stops working everywhere within 5 s.", &withdrawCommand{program: p})
+	return parser
+}
+
+// author returns who makes a change and why.
+func (p *program) author() (api.Author, error) {
+	a := api.Author{Actor: p.options.Actor, Reason: p.options.Reason}
+	if a.Actor == "" {
+		if u, err := user.Current(); err == nil {
+			a.Actor = u.Username
+		}
+	}
+	if a.Reason == "" {
+		return a, &errUsage{message: "give a reason with -m, such as -m 'siliguri is overloaded'"}
+	}
+	return a, nil
+}
+
+func (p *program) client() *api.Client { return api.New(p.options.Server) }
+
+// errUsage is returned for arguments that make no sense.
+type errUsage struct {
+	message string
+}
+
+// Error implements error.
+func (e *errUsage) Error() string { return e.message }
+
+// report prints an error and returns the exit code that belongs to it.
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	var parse *flags.Error
+	if errors.As(err, &parse) && parse.Type == flags.ErrHelp {
+		fmt.Println(parse.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "mpctl: "+err.Error())
+	var usage *errUsage
+	var refused *api.ErrRefused
+	switch {
+	case errors.As(err, &parse), errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitOf(refused)
+	default:
+		return exitFailed
+	}
+}
+
+func exitOf(e *api.ErrRefused) int {
+	switch e.Reason {
+	case "not-found":
+		return exitNotFound
+	case "version-conflict", "version-required":
+		return exitConflict
+	case "outcome-unknown":
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,69 @@
+// Command medlarpond-standin runs stand-ins for the systems around medlarpond, for trials and tests.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	flags "github.com/jessevdk/go-flags"
+
+	"medlarpond.dev/core/standin/platform"
+	"medlarpond.dev/core/standin/target"
+)
+
+const (
+	// headerTimeout bounds the time to read a request's headers.
+	headerTimeout = 5 * time.Second
+	// exitUsage is the exit code for wrong arguments.
+	exitUsage = 2
+)
+
+type platformCommand struct {
+	Listen string `long:"listen" default:"127.0.0.1:7500" description:"address of the key-value service"`
+}
+
+type targetCommand struct {
+	Listen string        `long:"listen" default:"127.0.0.1:7601" description:"address of the target"`
+	Name   string        `long:"name" default:"target-1" description:"name that answers carry"`
+	Slots  int64         `long:"slots" default:"3" description:"requests that run at once"`
+	Work   time.Duration `long:"work" default:"5ms" description:"how long a request runs"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("medlarpond-standin", flags.Default)
+	_, _ = parser.AddCommand("platform", "run a stand-in platform", "Runs a key-value service and list of instances, in memory.", &platformCommand{})
+	_, _ = parser.AddCommand("target", "run a stand-in target", "Runs a target that echoes requests.", &targetCommand{})
+	if _, err := parser.Parse(); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+}
+
+// Execute runs the platform.
+func (c *platformCommand) Execute([]string) error { return serve(c.Listen, platform.New()) }
+
+// Execute runs the target.
+func (c *targetCommand) Execute([]string) error {
+	return serve(c.Listen, target.New(c.Name, c.Slots, c.Work))
+}
+
+func serve(address string, h http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	fmt.Println("listening on " + address)
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
