Check with mutants that the tests can fail

Cause: an oracle that cannot fail proves nothing. Change: docs/MUTANTS.md lists deliberate faults with the test that must notice each; make mutants applies them by the go command's overlay, one at a time. make count counts lines of code and of tests. Conclusion: each new oracle brings its row.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := core entry mpctl standin trial
 GOLANGCI_VERSION := v2.15.0
 
-.PHONY: build fmt fmt-check lint vet test tools tidy
+.PHONY: build fmt fmt-check lint vet test tools tidy mutants count
 
 build:
 	go build -o bin/ ./entry ./mpctl ./standin ./trial
@@ -29,3 +29,12 @@
 
 tidy:
 	for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
+
+# Applies each deliberate fault of docs/MUTANTS.md and requires that the test beside it fails.
+mutants:
+	go test -tags mutants -count=1 -timeout 30m -v -run TestMutants ./core/mutants
+
+# Counts the lines of code and of tests; tests stay under a third of all.
+count:
+	@git ls-files '*.go' | grep -v '_test\.go$$' | xargs cat | wc -l | xargs echo "code lines:"
+	@git ls-files '*_test.go' core/contract | xargs cat | wc -l | xargs echo "test lines:"
