--- /dev/null
+++ b/bench/latency/latency.go
@@ -0,0 +1,35 @@
+// Package latency summarizes how long requests took.
+package latency
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Summary describes a set of latencies.
+type Summary struct {
+	Count int           `json:"count"`
+	P50   time.Duration `json:"p50-ns"`
+	P99   time.Duration `json:"p99-ns"`
+	P999  time.Duration `json:"p999-ns"`
+	Max   time.Duration `json:"max-ns"`
+}
+
+// Summarize sorts the samples in place and describes them.
+func Summarize(samples []time.Duration) Summary {
+	slices.Sort(samples)
+	return Summary{
+		Count: len(samples),
+		P50:   quantile(samples, 0.5), P99: quantile(samples, 0.99), P999: quantile(samples, 0.999), Max: quantile(samples, 1),
+	}
+}
+
+// quantile returns the smallest sample that at least the fraction q of all samples does not exceed.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	rank := int(math.Ceil(q * float64(len(sorted))))
+	return sorted[max(rank-1, 0)]
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,78 @@
+// Command medlarpond-bench measures medlarpond on loopback.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+
+	flags "github.com/jessevdk/go-flags"
+)
+
+const (
+	// exitFailed and exitUsage are the exit codes for a failed run and for wrong arguments.
+	exitFailed = 1
+	exitUsage  = 2
+	// columnPadding is the space between the columns of a table.
+	columnPadding = 2
+)
+
+// program is what every command works with.
+type program struct {
+	ctx context.Context //nolint:containedctx // the lifetime of one invocation
+
+	Output string `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"output format"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	p := &program{ctx: ctx}
+	_, err := newParser(p).Parse()
+	stop()
+	os.Exit(report(err))
+}
+
+func newParser(p *program) *flags.Parser {
+	parser := flags.NewNamedParser("medlarpond-bench", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Measures medlarpond on loopback. Every command is bounded in time."
+	_, _ = parser.AddGroup("Options", "", p)
+	_, _ = parser.AddCommand("path", "measure what an instance adds to a request",
+		"Sends requests to a target directly and through an instance, in turns, and compares latency, throughput and allocations.",
+		&pathCommand{program: p})
+	return parser
+}
+
+// report prints an error and returns the exit code that belongs to it.
+func report(err error) int {
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Println(usage.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "medlarpond-bench: "+err.Error())
+	if usage != nil {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// print writes a value as JSON or, through the function, as a table.
+func (p *program) print(value any, table func(io.Writer)) error {
+	if p.Output == "json" {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(value)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, columnPadding, ' ', 0)
+	table(w)
+	return w.Flush()
+}
--- /dev/null
+++ b/core/standin/fleet/file.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	yaml "github.com/goccy/go-yaml"
+	"github.com/gravitational/trace"
+)
+
+// file is the content of a trial file.
+type file struct {
+	Platform struct {
+		Listen string `yaml:"listen"`
+	} `yaml:"platform"`
+	Entries []Entry `yaml:"entries"`
+	Targets struct {
+		Work time.Duration `yaml:"work"`
+	} `yaml:"targets"`
+	Resources []any `yaml:"resources"`
+}
+
+// Load reads a plan from a YAML file.
+func Load(path string) (Plan, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, trace.ConvertSystemError(err)
+	}
+	var f file
+	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict()).Decode(&f); err != nil {
+		return Plan{}, err
+	}
+	encoded, err := json.Marshal(f.Resources)
+	if err != nil {
+		return Plan{}, trace.Wrap(err)
+	}
+	p := Plan{Platform: f.Platform.Listen, Entries: f.Entries, Work: f.Targets.Work}
+	return p, json.Unmarshal(encoded, &p.Resources)
+}
+
+// FreeAddresses returns addresses on loopback that were free a moment ago.
+func FreeAddresses(count int) ([]string, error) {
+	addresses := make([]string, 0, count)
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
--- a/trial/trial.go
+++ b/core/standin/fleet/fleet.go
@@ -1,4 +1,5 @@
-package main
+// Package fleet runs a whole trial fleet on loopback in one process: a stand-in platform, entry instances and targets.
+package fleet
 
 import (
 	"bytes"
@@ -7,10 +8,8 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 
-	yaml "github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -34,20 +33,19 @@
 	callTimeout = 5 * time.Second
 )
 
-// file is the content of a trial file.
-type file struct {
-	Platform struct {
-		Listen string `yaml:"listen"`
-	} `yaml:"platform"`
-	Entries []entry `yaml:"entries"`
-	Targets struct {
-		Work time.Duration `yaml:"work"`
-	} `yaml:"targets"`
-	Resources []any `yaml:"resources"`
+// Plan says what a fleet consists of.
+type Plan struct {
+	// Platform is where the stand-in platform listens.
+	Platform string
+	Entries  []Entry
+	// Work is how long a target works on a request.
+	Work time.Duration
+	// Resources are written once the instances are ready; each target among them is started.
+	Resources []resource.Resource
 }
 
-// entry is one entry instance of a trial file.
-type entry struct {
+// Entry is one Entry instance.
+type Entry struct {
 	ID            string `yaml:"id"`
 	Region        string `yaml:"region"`
 	FailureDomain string `yaml:"failure-domain"`
@@ -56,49 +54,34 @@
 	Peer          string `yaml:"peer"`
 }
 
-// trial is a running trial fleet.
-type trial struct {
-	file      file
-	resources []resource.Resource
-	logger    *zap.Logger
+// Fleet is a fleet that can be run once.
+type Fleet struct {
+	plan   Plan
+	logger *zap.Logger
 }
 
-// load reads a trial file.
-func load(path string, logger *zap.Logger) (*trial, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	t := &trial{logger: logger}
-	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict()).Decode(&t.file); err != nil {
-		return nil, err
-	}
-	encoded, err := json.Marshal(t.file.Resources)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return t, json.Unmarshal(encoded, &t.resources)
-}
+// New returns a fleet that follows the plan.
+func New(p Plan, logger *zap.Logger) *Fleet { return &Fleet{plan: p, logger: logger} }
 
-// run starts the fleet, writes the resources, and serves until the context ends.
-func (t *trial) run(ctx context.Context, ready func()) error {
+// Run starts the fleet, writes the resources, calls ready, and serves until the context ends.
+func (f *Fleet) Run(ctx context.Context, ready func()) error {
 	// The platform and the targets outlive the instances, which need them to stop gracefully.
 	around, stopAround := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopAround()
 	group, ctx := errgroup.WithContext(ctx)
 	outer, _ := errgroup.WithContext(around)
-	outer.Go(func() error { return serve(around, t.file.Platform.Listen, standinplatform.New()) })
-	for _, r := range t.resources {
+	outer.Go(func() error { return serve(around, f.plan.Platform, standinplatform.New()) })
+	for _, r := range f.plan.Resources {
 		if spec, ok := r.Spec.(resource.Target); ok {
-			handler := target.New(r.Name, int64(spec.Slots), t.file.Targets.Work)
+			handler := target.New(r.Name, int64(spec.Slots), f.plan.Work)
 			outer.Go(func() error { return serve(around, spec.Address, handler) })
 		}
 	}
-	for _, e := range t.file.Entries {
-		group.Go(func() error { return t.instance(e).Run(ctx) })
+	for _, e := range f.plan.Entries {
+		group.Go(func() error { return f.instance(e).Run(ctx) })
 	}
 	group.Go(func() error {
-		if err := t.prepare(ctx); err != nil {
+		if err := f.prepare(ctx); err != nil {
 			return err
 		}
 		ready()
@@ -109,31 +92,31 @@
 	return errors.Join(err, outer.Wait())
 }
 
-func (t *trial) instance(e entry) *instance.Instance {
+func (f *Fleet) instance(e Entry) *instance.Instance {
 	s := settings.Defaults()
 	s.Instance = settings.Instance{ID: e.ID, Region: e.Region, FailureDomain: e.FailureDomain}
 	s.Listen = settings.Listen{Caller: e.Caller, Operator: e.Operator, Peer: e.Peer}
 	s.Requests.LookupTTL = time.Second
-	for _, other := range t.file.Entries {
+	for _, other := range f.plan.Entries {
 		if other.ID != e.ID {
 			s.Peers.Seeds = append(s.Peers.Seeds, other.Peer)
 		}
 	}
-	store, _ := platform.NewHTTP("http://"+t.file.Platform.Listen, s.Platform.CallTimeout)
-	return instance.New(s, store, t.logger)
+	store, _ := platform.NewHTTP("http://"+f.plan.Platform, s.Platform.CallTimeout)
+	return instance.New(s, store, f.logger)
 }
 
 // prepare waits for the instances and writes the resources through the first of them.
-func (t *trial) prepare(ctx context.Context) error {
+func (f *Fleet) prepare(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, e := range t.file.Entries {
+	for _, e := range f.plan.Entries {
 		if err := waitReady(ctx, e.Operator); err != nil {
 			return err
 		}
 	}
-	for _, r := range t.resources {
-		if err := create(ctx, t.file.Entries[0].Operator, r); err != nil {
+	for _, r := range f.plan.Resources {
+		if err := create(ctx, f.plan.Entries[0].Operator, r); err != nil {
 			return trace.Wrap(err, "creating %s %s", r.Kind, r.Name)
 		}
 	}
@@ -176,7 +159,7 @@
 }
 
 func create(ctx context.Context, address string, r resource.Resource) error {
-	body, err := json.Marshal(wireWrite{Actor: "trial", Reason: "first set-up", Resource: r})
+	body, err := json.Marshal(wireWrite{Actor: "stand-in", Reason: "first set-up", Resource: r})
 	if err != nil {
 		return err
 	}
--- a/trial/main.go
+++ b/trial/main.go
@@ -12,6 +12,7 @@
 	flags "github.com/jessevdk/go-flags"
 
 	"medlarpond.dev/core/modules/logging"
+	"medlarpond.dev/core/standin/fleet"
 )
 
 // exitUsage is the exit code for wrong arguments.
@@ -44,11 +45,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	t, err := load(o.File, logger)
+	plan, err := fleet.Load(o.File)
 	if err != nil {
 		return err
 	}
-	return t.run(ctx, func() { printHints(t.file) })
+	return fleet.New(plan, logger).Run(ctx, func() { printHints(plan) })
 }
 
 const hints = `The trial fleet is ready. Try:
@@ -76,4 +77,4 @@
 Ctrl-C stops it.
 `
 
-func printHints(f file) { fmt.Printf(hints, f.Entries[0].Caller, f.Entries[0].Operator) }
+func printHints(p fleet.Plan) { fmt.Printf(hints, p.Entries[0].Caller, p.Entries[0].Operator) }
