Deal limits to the seats of an epoch and lend them by demand

Cause: each instance owned the whole of every limit, so seven instances together could admit seven times a limit. Change: portions by epoch with handover (SetEpoch, Activate, Settled), demand for units (Want), loans of rates and units between ledgers behind Ask and Lend; whole parts of tokens instead of floating point; returned tokens count only as far as no window can exceed its limit. Without an epoch a ledger still owns everything. Conclusion: others can build on the API.

--- a/core/services/share/account.go
+++ b/core/services/share/account.go
@@ -1,7 +1,10 @@
 // Package share accounts for limits that hold across the whole fleet: portions that belong to seats, and loans of them.
 package share
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Kind says what an account limits.
 type Kind string
@@ -34,3 +37,32 @@
 	// Region is whose seats own the units first; empty for no preference.
 	Region string
 }
+
+// nanosPerToken is the number of the smallest parts, which all sums are made of, in a token. Whole parts have no
+// rounding errors, so what is split and put together again is exactly what it was.
+const nanosPerToken = 1e9
+
+// tokensDown converts tokens to whole parts, never to more than was given.
+func tokensDown(tokens float64) int64 { return int64(math.Floor(tokens * nanosPerToken)) }
+
+// tokensUp converts tokens to whole parts, never to less than was given.
+func tokensUp(tokens float64) int64 { return int64(math.Ceil(tokens * nanosPerToken)) }
+
+// allowance is a rate in parts of tokens a second and a burst in parts of tokens.
+type allowance struct {
+	rate, burst int64
+}
+
+func (a allowance) plus(b allowance) allowance { return allowance{a.rate + b.rate, a.burst + b.burst} }
+
+func (a allowance) minus(b allowance) allowance { return allowance{a.rate - b.rate, a.burst - b.burst} }
+
+func (a allowance) atLeast(b allowance) allowance {
+	return allowance{max(a.rate, b.rate), max(a.burst, b.burst)}
+}
+
+func (a allowance) atMost(b allowance) allowance {
+	return allowance{min(a.rate, b.rate), min(a.burst, b.burst)}
+}
+
+func (a allowance) within(b allowance) bool { return a.rate <= b.rate && a.burst <= b.burst }
--- /dev/null
+++ b/core/services/share/epoch_test.go
@@ -0,0 +1,107 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarpond.dev/core/services/share"
+)
+
+// epochOf returns an epoch whose seats are spread over three regions.
+func epochOf(number uint64, ids ...string) share.Epoch {
+	e := share.Epoch{Number: number}
+	for n, id := range ids {
+		e.Seats = append(e.Seats, share.Seat{ID: id, Region: fmt.Sprintf("r%d", n%3)})
+	}
+	return e
+}
+
+// TestDealing checks that the portions of all seats add up to the limit exactly, whatever its size.
+func TestDealing(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+	for _, total := range []int{1, 3, 7, 10, 100} {
+		for _, region := range []string{"", "r0", "nowhere"} {
+			account := share.Account{Kind: share.KindTarget, Name: fmt.Sprintf("t%d", total)}
+			sum, most := 0, 0
+			for _, id := range ids {
+				l := share.NewLedger(func() {})
+				l.SetEpoch(epochOf(1, ids...), id)
+				l.SetLimits(map[share.Account]share.Limit{account: {Units: total, Region: region}})
+				if free := l.Free(account); free != 0 {
+					t.Errorf("%s owns %d before activation", id, free)
+				}
+				l.Activate(1, true)
+				sum += l.Free(account)
+				most = max(most, l.Free(account))
+			}
+			seats := map[string]int{"": 7, "r0": 3, "nowhere": 7}[region]
+			if want := (total + seats - 1) / seats; sum != total || most != want {
+				t.Errorf("limit %d in %q: dealt %d, at most %d to one seat, want %d", total, region, sum, most, want)
+			}
+		}
+	}
+}
+
+// TestHandover checks what a process may use while the seats change.
+func TestHandover(t *testing.T) {
+	unit := share.Account{Kind: share.KindRegion, Name: "r"}
+	limit := share.Limit{Units: 12, Hold: 5 * time.Second}
+	tests := []struct {
+		name   string
+		second share.Epoch
+		// before, after and later are the free units after adoption, after activation and after the hold.
+		settled              bool
+		before, after, later int
+	}{
+		{"fewer seats, all settled", epochOf(2, "a", "b"), true, 4, 6, 6},
+		{"fewer seats, one silent", epochOf(2, "a", "b"), false, 4, 4, 6},
+		{"more seats", epochOf(2, "a", "b", "c", "d"), true, 3, 3, 3},
+		{"epochs in between are unknown", epochOf(4, "a", "b"), true, 0, 6, 6},
+		{"without a seat", epochOf(2, "b", "c"), true, 0, 0, 0},
+		{"an older epoch", epochOf(1, "a"), true, 4, 4, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := share.NewLedger(func() {})
+				l.SetEpoch(epochOf(1, "a", "b", "c"), "a")
+				l.SetLimits(map[share.Account]share.Limit{unit: limit})
+				l.Activate(1, true)
+				l.SetEpoch(test.second, "a")
+				got := []int{l.Free(unit)}
+				l.Activate(test.second.Number, test.settled)
+				got = append(got, l.Free(unit))
+				time.Sleep(limit.Hold + 2*time.Second)
+				l.SetLimits(map[share.Account]share.Limit{unit: limit})
+				got = append(got, l.Free(unit))
+				if want := []int{test.before, test.after, test.later}; fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Errorf("got %v free units, want %v", got, want)
+				}
+			})
+		})
+	}
+}
+
+// TestSettled checks that units in use beyond the new portion keep a process from being settled.
+func TestSettled(t *testing.T) {
+	unit := share.Account{Kind: share.KindRegion, Name: "r"}
+	l := share.NewLedger(func() {})
+	l.SetEpoch(epochOf(1, "a"), "a")
+	l.SetLimits(map[share.Account]share.Limit{unit: {Units: 2, Hold: time.Second}})
+	l.Activate(1, true)
+	for n, want := range []bool{true, true, false} {
+		if l.Acquire(unit) != want {
+			t.Fatalf("acquiring unit %d: got %v", n, !want)
+		}
+	}
+	l.SetEpoch(epochOf(2, "a", "b"), "a")
+	if l.Settled(2) || l.Settled(3) {
+		t.Error("settled with a unit too many in use")
+	}
+	l.Release(unit)
+	if !l.Settled(2) || l.Settled(3) {
+		t.Error("not settled with one unit in use")
+	}
+}
--- a/core/services/share/ledger.go
+++ b/core/services/share/ledger.go
@@ -1,35 +1,48 @@
 package share
 
 import (
-	"maps"
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// Ledger holds what one instance may use of every account.
+// Ledger holds what one process may use of every account. Without an epoch it owns the whole of every limit, which is
+// right only for a process that is alone.
 type Ledger struct {
-	mu sync.Mutex
-	// buckets holds the rate accounts and units the others; an account is in one of them.
-	buckets map[Account]*bucket
-	units   map[Account]*units
+	// Confirmed reports whether shares may be used and lent; nil means always. It must not call the ledger.
+	Confirmed func() bool
+	// Ask sends a question to the process with the given seat; nil if there are no others. Set it before Run.
+	Ask func(ctx context.Context, seat string, r LoanRequest) (LoanReply, error)
+
+	mu    sync.Mutex
+	reign reign
+	rates map[Account]*rate
+	units map[Account]*unit
+	// wants are the groups of accounts of which units are needed, by the first account of each.
+	wants map[Account]*want
+	// lenders are the processes that are asked, by seat.
+	lenders map[string]*lender
+	// borrowers are the processes that have asked lately.
+	borrowers map[borrower]*asker
+	nonce     uint64
+	// sequence is that of the last question sent to anybody.
+	sequence uint64
+	// dealing is until when portions change as time passes.
+	dealing time.Time
 	// notify is called, without the lock held, after something has become free.
 	notify func()
-}
-
-// bucket is a token bucket; level never exceeds burst.
-type bucket struct {
-	rate, burst, level float64
-	updated            time.Time
-}
-
-// units counts whole units; used may exceed owned only after a limit was lowered.
-type units struct {
-	owned, used int
+	// wake starts a round of questions; it holds at most one signal.
+	wake chan struct{}
 }
 
 // NewLedger returns a ledger without accounts; notify is called after something has become free.
 func NewLedger(notify func()) *Ledger {
-	return &Ledger{buckets: map[Account]*bucket{}, units: map[Account]*units{}, notify: notify}
+	return &Ledger{
+		rates: map[Account]*rate{}, units: map[Account]*unit{}, wants: map[Account]*want{},
+		lenders: map[string]*lender{}, borrowers: map[borrower]*asker{},
+		nonce: rand.Uint64(), notify: notify, wake: make(chan struct{}, 1),
+	}
 }
 
 // SetLimits replaces the limits of all accounts. A new rate account starts empty.
@@ -37,39 +50,50 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(l.buckets, func(a Account, _ *bucket) bool { return limits[a].Rate == 0 })
-	maps.DeleteFunc(l.units, func(a Account, u *units) bool { return limits[a].Units == 0 && u.used == 0 })
+	for a, r := range l.rates {
+		if limits[a].Rate == 0 {
+			r.setLimit(Limit{}, now)
+		}
+	}
+	for a, u := range l.units {
+		if limits[a].Units == 0 {
+			u.setLimit(Limit{}, now)
+		}
+	}
 	for a, limit := range limits {
 		if limit.Units > 0 {
-			l.unitsOf(a).owned = limit.Units
-			continue
+			l.unitOf(a).setLimit(limit, now)
+		} else if limit.Rate > 0 {
+			l.rateOf(a, limit, now).setLimit(limit, now)
 		}
-		l.bucketOf(a, now).resize(limit.Rate, limit.Burst, now)
 	}
+	l.deal(now)
 }
 
-// Take uses n tokens of a rate account and reports whether it could.
+// Take uses n tokens of a rate account and reports whether it could. A refusal counts as demand.
 func (l *Ledger) Take(a Account, n float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b, ok := l.buckets[a]
-	if !ok {
+	r, ok := l.rates[a]
+	now := time.Now()
+	if !ok || !l.confirmed() {
 		return false
 	}
-	b.refill(time.Now())
-	if b.level < n {
-		return false
+	if r.take(n, now) {
+		return true
 	}
-	b.level -= n
-	return true
+	l.signal()
+	return false
 }
 
-// Return gives back tokens that were taken for a request that did not run.
+// Return gives back tokens that were taken for a request that did not run, as far as no window can then exceed the
+// limit. It must be called within a minute of the take.
 func (l *Ledger) Return(a Account, n float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b, ok := l.buckets[a]; ok {
-		b.level = min(b.level+n, b.burst)
+	if r, ok := l.rates[a]; ok {
+		r.advance(time.Now())
+		r.bucket.giveBack(tokensDown(n))
 	}
 }
 
@@ -78,17 +102,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u, ok := l.units[a]
-	if !ok || u.used >= u.owned {
-		return false
-	}
-	u.used++
-	return true
+	now := time.Now()
+	return ok && l.confirmed() && u.acquire(now)
 }
 
 // Release ends the use of a unit.
 func (l *Ledger) Release(a Account) {
 	l.mu.Lock()
-	if u, ok := l.units[a]; ok {
+	if u, ok := l.units[a]; ok && u.used > 0 {
 		u.used--
 	}
 	l.mu.Unlock()
@@ -100,37 +121,94 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u, ok := l.units[a]
-	if !ok {
+	if !ok || u.limit.Units == 0 {
 		return 0
 	}
-	return max(u.owned-u.used, 0)
+	return max(u.free(time.Now()), 0)
 }
 
-func (l *Ledger) bucketOf(a Account, now time.Time) *bucket {
-	b, ok := l.buckets[a]
-	if !ok {
-		b = &bucket{updated: now}
-		l.buckets[a] = b
+// Want asks the other processes for n units of any of the accounts, which must not be changed afterwards. It returns at
+// once; notify tells of what came.
+func (l *Ledger) Want(any []Account, n int) {
+	if len(any) == 0 || n <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.wants[any[0]] = &want{accounts: any, units: n, since: now}
+	l.contest(any, borrower{}, now)
+	l.signal()
+}
+
+func (l *Ledger) confirmed() bool { return l.Confirmed == nil || l.Confirmed() }
+
+func (l *Ledger) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// deal works out the portions.
+func (l *Ledger) deal(now time.Time) {
+	l.dealing = now
+	for a, r := range l.rates {
+		r.reclaim(now)
+		r.setPortion(l.reign.allowance(a, r.total, now), now)
+	}
+	hold := time.Duration(0)
+	for a, u := range l.units {
+		hold = max(hold, u.limit.Hold)
+		u.advance(now)
+		u.portion = l.reign.units(a, u.limit.Units, u.limit.Region, u.limit.Hold, now)
+		if now.Before(u.regionUntil) {
+			u.portion = min(u.portion, l.reign.units(a, u.limit.Units, u.regionBefore, u.limit.Hold, now))
+			l.dealing = later(l.dealing, u.regionUntil)
+		}
+	}
+	if !l.reign.activated.IsZero() && !l.reign.settled {
+		l.dealing = later(l.dealing, l.reign.activated.Add(lenderTerm+hold))
+	}
+}
+
+// reclaim takes back what has ended and forgets accounts that nobody needs any more.
+func (l *Ledger) reclaim(now time.Time) {
+	for a, r := range l.rates {
+		r.reclaim(now)
+		if r.unused() {
+			delete(l.rates, a)
+		}
+	}
+	for a, u := range l.units {
+		u.advance(now)
+		if u.unused(now) {
+			delete(l.units, a)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
 	return b
 }
 
-func (l *Ledger) unitsOf(a Account) *units {
+func (l *Ledger) rateOf(a Account, limit Limit, now time.Time) *rate {
+	r, ok := l.rates[a]
+	if !ok {
+		r = newRate(limit, now)
+		l.rates[a] = r
+	}
+	return r
+}
+
+func (l *Ledger) unitOf(a Account) *unit {
 	u, ok := l.units[a]
 	if !ok {
-		u = &units{}
+		u = newUnit()
 		l.units[a] = u
 	}
 	return u
 }
-
-func (b *bucket) refill(now time.Time) {
-	b.level = min(b.burst, b.level+b.rate*now.Sub(b.updated).Seconds())
-	b.updated = now
-}
-
-func (b *bucket) resize(rate, burst float64, now time.Time) {
-	b.refill(now)
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level, burst)
-}
