--- a/core/models/resource/snapshot.go
+++ b/core/models/resource/snapshot.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"crypto/sha256"
-	"encoding/hex"
+	"iter"
 	"maps"
 	"slices"
-	"strings"
+
+	"medlarpond.dev/core/modules/persistent"
 )
 
 // KeyHash is the SHA-256 of a key.
@@ -18,9 +19,10 @@
 // Snapshot is an immutable set of resources with the indexes that requests need.
 type Snapshot struct {
 	// byKind is never written after the snapshot is built.
-	byKind map[Kind]map[string]Resource
-	// index is derived from byKind.
-	index *index
+	byKind map[Kind]persistent.Map[Resource]
+	// index and blocks are derived from byKind.
+	index  *index
+	blocks blockTable
 }
 
 // NamedTarget is a target with its name and region.
@@ -36,65 +38,87 @@
 	Route
 }
 
-type index struct {
-	teamByKey map[KeyHash]string
-	// routes is sorted so that longer paths come first.
-	routes  []NamedRoute
-	targets map[string][]NamedTarget
-}
-
 // NewSnapshot returns an empty snapshot.
 func NewSnapshot() Snapshot {
-	return Snapshot{byKind: map[Kind]map[string]Resource{}, index: &index{}}
+	return Snapshot{byKind: map[Kind]persistent.Map[Resource]{}, index: &index{}}
 }
 
 // NewSnapshotOf returns a snapshot of the given resources.
 func NewSnapshotOf(resources []Resource) Snapshot {
-	byKind := map[Kind]map[string]Resource{}
+	sorted := map[Kind][]Resource{}
 	for _, r := range resources {
-		if byKind[r.Kind] == nil {
-			byKind[r.Kind] = map[string]Resource{}
+		sorted[r.Kind] = append(sorted[r.Kind], r)
+	}
+	byKind := map[Kind]persistent.Map[Resource]{}
+	for kind, all := range sorted {
+		byKind[kind] = persistent.NewMap(byName(all))
+	}
+	s := Snapshot{byKind: byKind, blocks: newBlocks(byKind[KindClientBlock])}
+	s.index = newIndex(s)
+	return s
+}
+
+func byName(resources []Resource) iter.Seq2[string, Resource] {
+	return func(yield func(string, Resource) bool) {
+		for _, r := range resources {
+			if !yield(r.Name, r) {
+				return
+			}
 		}
-		byKind[r.Kind][r.Name] = r
 	}
-	return newIndexed(byKind)
 }
 
 // With returns a snapshot in which the resource replaces the one of its kind and name.
 func (s Snapshot) With(r Resource) Snapshot {
-	changed := maps.Clone(s.byKind[r.Kind])
-	if changed == nil {
-		changed = map[string]Resource{}
+	blocks := s.blocks
+	if r.Kind == KindClientBlock {
+		before, _ := s.Get(r.Kind, r.Name)
+		blocks = withBlock(withoutBlock(blocks, before), r)
 	}
-	changed[r.Name] = r
-	return s.withKind(r.Kind, changed)
+	return s.replaced(r.Kind, s.byKind[r.Kind].With(r.Name, r), blocks)
 }
 
 // Without returns a snapshot that lacks the named resource.
 func (s Snapshot) Without(kind Kind, name string) Snapshot {
-	changed := maps.Clone(s.byKind[kind])
-	delete(changed, name)
-	return s.withKind(kind, changed)
+	blocks := s.blocks
+	if kind == KindClientBlock {
+		before, _ := s.Get(kind, name)
+		blocks = withoutBlock(blocks, before)
+	}
+	return s.replaced(kind, s.byKind[kind].Without(name), blocks)
 }
 
-func (s Snapshot) withKind(kind Kind, changed map[string]Resource) Snapshot {
+func (s Snapshot) replaced(kind Kind, changed persistent.Map[Resource], blocks blockTable) Snapshot {
 	byKind := maps.Clone(s.byKind)
 	byKind[kind] = changed
-	if kind == KindClientBlock || kind == KindTeam || kind == KindShift {
-		return Snapshot{byKind: byKind, index: s.index}
+	c := Snapshot{byKind: byKind, index: s.index, blocks: blocks}
+	if kind != KindClientBlock && kind != KindTeam && kind != KindShift {
+		c.index = newIndex(c)
 	}
-	return newIndexed(byKind)
+	return c
 }
 
 // Get returns one resource.
 func (s Snapshot) Get(kind Kind, name string) (Resource, bool) {
-	r, ok := s.byKind[kind][name]
-	return r, ok
+	return s.byKind[kind].Get(name)
 }
 
 // List returns the resources of a kind, sorted by name.
 func (s Snapshot) List(kind Kind) []Resource {
-	return slices.SortedFunc(maps.Values(s.byKind[kind]), func(a, b Resource) int { return cmp.Compare(a.Name, b.Name) })
+	all := s.unsorted(kind)
+	slices.SortFunc(all, func(a, b Resource) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Count returns the number of resources of a kind.
+func (s Snapshot) Count(kind Kind) int { return s.byKind[kind].Len() }
+
+func (s Snapshot) unsorted(kind Kind) []Resource {
+	all := make([]Resource, 0, s.byKind[kind].Len())
+	for _, r := range s.byKind[kind].All() {
+		all = append(all, r)
+	}
+	return all
 }
 
 // All returns every resource, sorted by kind in the order of Kinds and then by name.
@@ -108,7 +132,7 @@
 
 // Spec returns the typed spec of a resource.
 func Spec[T any](s Snapshot, kind Kind, name string) (T, bool) {
-	r, ok := s.byKind[kind][name]
+	r, ok := s.Get(kind, name)
 	if !ok {
 		var zero T
 		return zero, false
@@ -135,31 +159,3 @@
 
 // TargetsOf returns the targets of a service, sorted by name; the caller must not change them.
 func (s Snapshot) TargetsOf(service string) []NamedTarget { return s.index.targets[service] }
-
-func hasPathPrefix(path, prefix string) bool {
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
-}
-
-func newIndexed(byKind map[Kind]map[string]Resource) Snapshot {
-	s := Snapshot{byKind: byKind}
-	x := &index{teamByKey: map[KeyHash]string{}, targets: map[string][]NamedTarget{}}
-	for _, r := range byKind[KindKey] {
-		k := r.Spec.(Key)
-		var h KeyHash
-		if raw, err := hex.DecodeString(k.Hash); err == nil && copy(h[:], raw) == len(h) {
-			x.teamByKey[h] = k.Team
-		}
-	}
-	for _, r := range s.List(KindRoute) {
-		x.routes = append(x.routes, NamedRoute{Name: r.Name, Route: r.Spec.(Route)})
-	}
-	slices.SortStableFunc(x.routes, func(a, b NamedRoute) int { return cmp.Compare(len(b.Path), len(a.Path)) })
-	for _, r := range s.List(KindTarget) {
-		t := r.Spec.(Target)
-		d, _ := Spec[FailureDomain](s, KindFailureDomain, t.FailureDomain)
-		x.targets[t.Service] = append(x.targets[t.Service], NamedTarget{Name: r.Name, Region: d.Region, Target: t})
-	}
-	s.index = x
-	return s
-}
--- a/core/models/resource/validate.go
+++ b/core/models/resource/validate.go
@@ -29,16 +29,26 @@
 
 // ValidateDelete checks that no other resource names the one to delete.
 func ValidateDelete(s Snapshot, kind Kind, name string) error {
-	for _, other := range s.All() {
-		for _, ref := range references(other) {
-			if ref.kind == kind && ref.name == name {
-				return &ErrInUse{Kind: kind, Name: name, By: fmt.Sprintf("%s %q", other.Kind, other.Name)}
-			}
+	for _, k := range Kinds() {
+		if user, ok := firstUser(s, k, kind, name); ok {
+			return &ErrInUse{Kind: kind, Name: name, By: fmt.Sprintf("%s %q", k, user)}
 		}
 	}
 	return nil
 }
 
+// firstUser returns the first name among the resources of a kind that refer to the named one.
+func firstUser(s Snapshot, users, kind Kind, name string) (string, bool) {
+	first, found := "", false
+	for user, r := range s.byKind[users].All() {
+		uses := slices.ContainsFunc(references(r), func(ref reference) bool { return ref.kind == kind && ref.name == name })
+		if uses && (!found || user < first) {
+			first, found = user, true
+		}
+	}
+	return first, found
+}
+
 // validator collects the first fault of a resource.
 type validator struct {
 	snapshot Snapshot
@@ -88,6 +98,8 @@
 	case ClientBlock:
 		p, err := netip.ParsePrefix(spec.Prefix)
 		v.require(err == nil && p == p.Masked(), "prefix", "must be an IP prefix such as 192.0.2.0/24 with no bits past its length")
+		holder, taken := v.snapshot.BlockOf(p)
+		v.require(!taken || holder == v.resource.Name, "prefix", fmt.Sprintf("is the prefix of client-block %q already", holder))
 	default:
 		v.require(false, "spec", "does not belong to this kind")
 	}
@@ -114,9 +126,12 @@
 }
 
 func (v *validator) hashTaken(hash string) bool {
-	return slices.ContainsFunc(v.snapshot.List(KindKey), func(r Resource) bool {
-		return r.Name != v.resource.Name && r.Spec.(Key).Hash == hash
-	})
+	for _, r := range v.snapshot.byKind[KindKey].All() {
+		if r.Name != v.resource.Name && r.Spec.(Key).Hash == hash {
+			return true
+		}
+	}
+	return false
 }
 
 // reference is a field of one resource that names another.
