--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -13,12 +13,10 @@
 	"go.uber.org/zap"
 
 	"medlarpond.dev/core/models/platform"
-	"medlarpond.dev/core/models/resource"
 	"medlarpond.dev/core/modules/duty"
 	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/modules/meter"
 	"medlarpond.dev/core/modules/peer"
-	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/routers/caller"
 	"medlarpond.dev/core/routers/operator"
 	"medlarpond.dev/core/services/configuration"
@@ -195,17 +193,6 @@
 
 func (i *Instance) confirmed() bool { return true }
 
-func (i *Instance) locate(_ *http.Request, service string) (caller.Located, *refusal.Refusal) {
-	if _, ok := i.state.View().Snapshot.Get(resource.KindService, service); !ok {
-		return caller.Located{}, refusal.New(http.StatusNotFound, refusal.NotFound, "no service has this name")
-	}
-	place := i.settings.Instance
-	return caller.Located{
-		Instances: i.table.Nearest(place.Region, place.FailureDomain),
-		TTL:       i.settings.Requests.LookupTTL,
-	}, nil
-}
-
 func (i *Instance) status() operator.Status {
 	v := i.state.View()
 	return operator.Status{
