Let a wait for a missing key last as long as it was asked to

Cause: the client remembered the index of one missing key only, so the first wait for a missing key, and every wait while another one was open, ended at once; two such waits would have asked the store without pause. Change: a wait asks until its time is over or the key has changed, and keeps no state between calls. Conclusion: a wait costs one call more at its start and none in between.

--- a/core/models/platform/http.go
+++ b/core/models/platform/http.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -38,11 +37,6 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
-
-	mu sync.Mutex
-	// missing is the index of the last answer that said that missingKey does not exist.
-	missing    uint64
-	missingKey string
 }
 
 type wireEntry struct {
@@ -69,18 +63,15 @@
 }
 
 func (c *client) get(ctx context.Context, key string) (Entry, error) {
-	entries, err := c.read(ctx, key, url.Values{}, c.timeout)
+	entries, _, err := c.read(ctx, key, url.Values{}, c.timeout)
 	if err != nil {
 		return Entry{}, err
 	}
-	if len(entries) == 0 {
-		return Entry{}, &ErrKeyNotExist{Key: key}
-	}
-	return entries[0], nil
+	return firstOf(entries, key)
 }
 
 func (c *client) list(ctx context.Context, prefix string) ([]Entry, error) {
-	entries, err := c.read(ctx, prefix, url.Values{"recurse": {"true"}}, c.timeout)
+	entries, _, err := c.read(ctx, prefix, url.Values{"recurse": {"true"}}, c.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -89,61 +80,65 @@
 }
 
 func (c *client) waitFor(ctx context.Context, key string, known uint64, wait time.Duration) (Entry, error) {
+	until := time.Now().Add(wait)
+	// Without an index the first question is answered at once.
 	index := known
-	if known == 0 {
-		index = c.missingIndex(key)
-	}
-	query := url.Values{}
-	if index > 0 {
-		query = url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {wait.String()}}
-	}
-	entries, err := c.read(ctx, key, query, wait+watchSlack)
-	if err != nil {
-		return Entry{}, err
+	for {
+		left := max(time.Until(until), 0)
+		query := url.Values{}
+		if index > 0 {
+			query = url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {left.String()}}
+		}
+		entries, answered, err := c.read(ctx, key, query, left+watchSlack)
+		if err != nil {
+			return Entry{}, err
+		}
+		if len(entries) > 0 && entries[0].Version != known {
+			return entries[0], nil
+		}
+		if left == 0 || answered == 0 {
+			return firstOf(entries, key)
+		}
+		index = nextIndex(index, answered)
+	}
+}
+
+// nextIndex returns the index to wait from after an answer; a store that went back is asked afresh.
+func nextIndex(asked, answered uint64) uint64 {
+	if answered < asked {
+		return 0
 	}
+	return answered
+}
+
+func firstOf(entries []Entry, key string) (Entry, error) {
 	if len(entries) == 0 {
 		return Entry{}, &ErrKeyNotExist{Key: key}
 	}
 	return entries[0], nil
 }
 
-// missingIndex returns the index from which to wait for a key that did not exist; zero asks without waiting.
-func (c *client) missingIndex(key string) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.missingKey != key {
-		return 0
-	}
-	return c.missing
-}
-
-func (c *client) rememberMissing(key string, index uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.missingKey, c.missing = key, index
-}
-
-func (c *client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) ([]Entry, error) {
+// read returns the entries that a query finds and the store's index.
+func (c *client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) ([]Entry, uint64, error) {
 	a, err := c.do(ctx, http.MethodGet, "/v1/kv/"+key, query, nil, timeout)
 	if err != nil {
-		return nil, &ErrUnavailable{Cause: err}
+		return nil, 0, &ErrUnavailable{Cause: err}
 	}
 	if a.status == http.StatusNotFound {
-		c.rememberMissing(key, a.index)
-		return nil, nil
+		return nil, a.index, nil
 	}
 	if a.status != http.StatusOK {
-		return nil, &ErrUnavailable{Cause: &ErrStatus{Status: a.status}}
+		return nil, 0, &ErrUnavailable{Cause: &ErrStatus{Status: a.status}}
 	}
 	var wire []wireEntry
 	if err := json.Unmarshal(a.body, &wire); err != nil {
-		return nil, &ErrUnavailable{Cause: err}
+		return nil, 0, &ErrUnavailable{Cause: err}
 	}
 	entries := make([]Entry, 0, len(wire))
 	for _, w := range wire {
 		entries = append(entries, Entry{Key: w.Key, Value: w.Value, Version: w.ModifyIndex})
 	}
-	return entries, nil
+	return entries, a.index, nil
 }
 
 func (c *client) put(ctx context.Context, key string, value []byte, expected uint64) error {
