Check the store's seam by a contract that any store can be run against

Change: core/contract has the table; the HTTP client runs it with the stand-in behind a relay whose connections go silent. The stand-in reads a request's body before it goes silent, without which it did not notice that a caller left.

--- /dev/null
+++ b/core/models/platform/http_test.go
@@ -0,0 +1,39 @@
+package platform_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"medlarpond.dev/core/contract"
+	"medlarpond.dev/core/models/platform"
+	standin "medlarpond.dev/core/standin/platform"
+	"medlarpond.dev/core/standin/relay"
+)
+
+// TestContract runs the contract of the store against the HTTP client with the stand-in behind a relay.
+func TestContract(t *testing.T) {
+	contract.Store(t, func(t *testing.T) (platform.Store, contract.StoreFaults) {
+		t.Helper()
+		p := standin.New()
+		server := httptest.NewServer(p)
+		r, err := relay.New(server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			r.Close()
+			server.CloseClientConnections()
+			server.Close()
+		})
+		store, _ := platform.NewHTTP("http://"+r.Address(), time.Second)
+		return store, contract.StoreFaults{
+			Down:        func(on bool) { p.SetFaults(standin.Faults{Down: on}) },
+			LoseAnswers: func(on bool) { p.SetFaults(standin.Faults{LoseWriteAnswer: on}) },
+			LoseWrites:  func(on bool) { p.SetFaults(standin.Faults{LoseWrite: on}) },
+			Silence:     func(on bool) { p.SetFaults(standin.Faults{Silent: on}) },
+			Unreachable: r.Cut,
+			Freeze:      r.Freeze,
+		}
+	})
+}
--- a/core/standin/platform/platform.go
+++ b/core/standin/platform/platform.go
@@ -145,6 +145,8 @@
 	f := p.faults
 	p.mu.Unlock()
 	if f.Silent {
+		// The server notices that its caller is gone only after the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
