--- a/core/models/platform/http.go
+++ b/core/models/platform/http.go
@@ -120,6 +120,8 @@
 
 // read returns the entries that a query finds and the store's index.
 func (c *client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) ([]Entry, uint64, error) {
+	// A replica that lags must not answer in the leader's place.
+	query.Set("consistent", "true")
 	a, err := c.do(ctx, http.MethodGet, "/v1/kv/"+key, query, nil, timeout)
 	if err != nil {
 		return nil, 0, &ErrUnavailable{Cause: err}
@@ -213,6 +215,8 @@
 	request.GetBody = nil
 	response, err := c.http.Do(request)
 	if err != nil {
+		// Idle connections may have gone silent too; the next call gets a new one.
+		c.http.CloseIdleConnections()
 		return answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/core/services/configuration/errors.go
+++ b/core/services/configuration/errors.go
@@ -79,3 +79,43 @@
 
 // Unwrap returns the cause.
 func (e *ErrStoreUnavailable) Unwrap() error { return e.Cause }
+
+// ErrStoreBehind is returned for a write that was not applied since the store lacks changes that are in force, or holds
+// others in their place.
+type ErrStoreBehind struct {
+	// Revision is the one in force here.
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ErrStoreBehind) Error() string {
+	return fmt.Sprintf("not applied: the store lacks change %d, which is in force; restore it first", e.Revision)
+}
+
+// ErrNoContact is returned for a write that was not applied since the writing instance is not in contact with most seats.
+type ErrNoContact struct{}
+
+// Error implements error.
+func (e *ErrNoContact) Error() string {
+	return "not applied: this instance is not in contact with most of the others; use another one"
+}
+
+// ErrIDTaken is returned for a write whose identifier belongs to another change.
+type ErrIDTaken struct {
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ErrIDTaken) Error() string {
+	return fmt.Sprintf("not applied: the identifier belongs to change %d, which differs", e.Revision)
+}
+
+// ErrTooFarBehind is returned when an instance that has run for long cannot catch up any more and must be restarted.
+type ErrTooFarBehind struct {
+	Have, Oldest uint64
+}
+
+// Error implements error.
+func (e *ErrTooFarBehind) Error() string {
+	return fmt.Sprintf("revision %d is too old to catch up; the store holds changes after %d; restart the instance", e.Have, e.Oldest)
+}
--- a/core/services/configuration/state.go
+++ b/core/services/configuration/state.go
@@ -63,6 +63,37 @@
 	return nil
 }
 
+// Install puts a whole configuration in force at an instance that has none; otherwise it reports false.
+func (s *State) Install(v *View) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Load().Revision > 0 {
+		return false
+	}
+	s.view.Store(v)
+	s.broadcast()
+	return true
+}
+
+// Prepend adds the change before the oldest one held to the history, and reports whether it was that one.
+func (s *State) Prepend(r Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view.Load()
+	if r.Revision != v.Revision-uint64(len(s.history)) || len(s.history) >= HistoryLength {
+		return false
+	}
+	want := v.Chain
+	if len(s.history) > 0 {
+		want = s.history[0].Previous
+	}
+	if r.Chain != want {
+		return false
+	}
+	s.history = slices.Insert(s.history, 0, r)
+	return true
+}
+
 // Changed returns a channel that is closed at the next change.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.Lock()
--- a/core/services/configuration/writer.go
+++ b/core/services/configuration/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -24,10 +25,14 @@
 type Writer struct {
 	store platform.Store
 	state *State
+	// Contact reports whether this instance knows all that has been accepted; nil means always.
+	Contact func() bool
 }
 
 // Request is an operator's wish to change one resource.
 type Request struct {
+	// ID names the change, so that it can be sent again without being applied twice; empty for a random one.
+	ID     string
 	Actor  string
 	Reason string
 	Action Action
@@ -42,12 +47,20 @@
 
 // Write appends one change. An error other than ErrUnknown means that nothing was applied.
 func (w *Writer) Write(ctx context.Context, q Request) (Record, error) {
-	id := newID()
+	if w.Contact != nil && !w.Contact() {
+		return Record{}, &ErrNoContact{}
+	}
+	if q.ID == "" {
+		q.ID = newID()
+	}
 	for {
 		if err := ctx.Err(); err != nil {
 			return Record{}, &ErrStoreUnavailable{Cause: context.Cause(ctx)}
 		}
-		record, err := w.prepare(q, id)
+		if have, ok := w.state.Find(q.ID); ok {
+			return w.same(q, have)
+		}
+		record, err := w.prepare(q)
 		if err != nil {
 			return Record{}, err
 		}
@@ -58,21 +71,41 @@
 		if err := w.state.Apply(won); err != nil {
 			return Record{}, trace.Wrap(err)
 		}
-		if won.ID == id {
-			return won, nil
+		if won.ID == q.ID {
+			return w.same(q, won)
 		}
 	}
 }
 
+// same returns a change that is in force if it is what the request with its identifier asks for.
+func (w *Writer) same(q Request, have Record) (Record, error) {
+	if have.Action == q.Action && have.Actor == q.Actor && have.Reason == q.Reason && sameResource(q, have) {
+		return have, nil
+	}
+	return Record{}, &ErrIDTaken{Revision: have.Revision}
+}
+
+func sameResource(q Request, have Record) bool {
+	if have.Resource == nil || have.Resource.Kind != q.Resource.Kind || have.Resource.Name != q.Resource.Name {
+		return false
+	}
+	if q.Action == ActionDelete {
+		return true
+	}
+	asked, _ := json.Marshal(q.Resource.Spec)
+	stored, _ := json.Marshal(have.Resource.Spec)
+	return string(asked) == string(stored)
+}
+
 // prepare checks the request against the state in force and builds the change that follows it.
-func (w *Writer) prepare(q Request, id string) (Record, error) {
+func (w *Writer) prepare(q Request) (Record, error) {
 	v := w.state.View()
 	before, exists := v.Snapshot.Get(q.Resource.Kind, q.Resource.Name)
 	if err := w.checkVersion(q, before, exists); err != nil {
 		return Record{}, err
 	}
 	c := Change{
-		ID: id, Revision: v.Revision + 1, Previous: v.Chain, Action: q.Action,
+		ID: q.ID, Revision: v.Revision + 1, Previous: v.Chain, Action: q.Action,
 		Actor: q.Actor, Reason: q.Reason, Time: time.Now().UTC(), Resource: &q.Resource,
 	}
 	if exists {
@@ -119,16 +152,19 @@
 	return e
 }
 
-// append creates the log key of a record and returns the record that the key holds in the end, ours or another.
+// append creates the log key of a record and returns the record that the key holds in the end, ours or another. The
+// store must hold the change before, or the log would get a gap.
 func (w *Writer) append(ctx context.Context, r Record) (Record, error) {
+	if err := w.checkBefore(ctx, r); err != nil {
+		return Record{}, err
+	}
 	key := logKey(r.Revision)
 	err := w.store.Put(ctx, key, r.Raw, 0)
-	if err == nil {
-		return r, nil
-	}
 	var conflict *platform.ErrConflict
 	var unavailable *platform.ErrUnavailable
 	switch {
+	case err == nil:
+		return w.checkArchived(ctx, r)
 	case errors.As(err, &conflict):
 		entry, err := w.store.Get(ctx, key)
 		if err != nil {
@@ -142,6 +178,40 @@
 	}
 }
 
+func (w *Writer) checkBefore(ctx context.Context, r Record) error {
+	err := checkTip(ctx, w.store, &View{Revision: r.Revision - 1, Chain: r.Previous})
+	var behind *ErrStoreBehind
+	if err == nil || errors.As(err, &behind) {
+		return err
+	}
+	return &ErrStoreUnavailable{Cause: err}
+}
+
+// checkArchived makes sure that the key which was created had not been removed before as archived: then another change
+// has had the revision.
+func (w *Writer) checkArchived(ctx context.Context, r Record) (Record, error) {
+	for {
+		h, _, err := readHead(ctx, w.store)
+		if err == nil && h.Revision < r.Revision {
+			return r, nil
+		}
+		if err == nil {
+			return Record{}, w.discard(ctx, r, h)
+		}
+		if !wait(ctx, retryInterval) {
+			return Record{}, &ErrUnknown{ID: r.ID}
+		}
+	}
+}
+
+// discard removes a key that came too late.
+func (w *Writer) discard(ctx context.Context, r Record, h head) error {
+	if entry, err := w.store.Get(ctx, logKey(r.Revision)); err == nil && chainOf(entry.Value) == r.Chain {
+		_ = w.store.Delete(ctx, logKey(r.Revision), entry.Version)
+	}
+	return &ErrTooFarBehind{Have: r.Revision - 1, Oldest: h.Oldest}
+}
+
 // resolve learns the outcome of a write whose answer was lost. While the key does not exist the write may still be
 // on its way, so a void change is put in its place: whichever of the two the key then holds, the other never applies.
 func (w *Writer) resolve(ctx context.Context, r Record) (Record, error) {
@@ -155,22 +225,32 @@
 	for {
 		entry, err := w.store.Get(ctx, logKey(r.Revision))
 		if err == nil {
-			return DecodeRecord(entry.Value)
+			found, err := DecodeRecord(entry.Value)
+			if err != nil {
+				return Record{}, err
+			}
+			return w.checkArchived(ctx, found)
 		}
 		var missing *platform.ErrKeyNotExist
 		if errors.As(err, &missing) {
 			// The next reading tells which of the two the key holds.
 			_ = w.store.Put(ctx, logKey(r.Revision), void.Raw, 0)
-			continue
+			if ctx.Err() == nil {
+				continue
+			}
 		}
-		select {
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
+		if !wait(ctx, retryInterval) {
 			return Record{}, &ErrUnknown{ID: r.ID}
 		}
 	}
 }
 
+// wait reports whether the context outlasted the pause.
+func wait(ctx context.Context, d time.Duration) bool {
+	pause(ctx, d)
+	return ctx.Err() == nil
+}
+
 func newID() string {
 	raw := make([]byte, idBytes)
 	_, _ = rand.Read(raw)
--- /dev/null
+++ b/core/services/membership/confirmation.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Confirmation tells since when this instance can have missed nothing: the time at which it sent a question to which
+// the store, most seats, or an instance that is itself confirmed has answered.
+type Confirmation struct {
+	mu sync.Mutex
+	// store is when the last question was sent to which the store answered.
+	store time.Time
+	// relayed is as of when a confirmed peer has vouched.
+	relayed evidence
+	// seats is keyed by process.
+	seats map[string]evidence
+}
+
+// evidence is an answer's worth. An answer counts only once this instance has in force what the answerer had.
+type evidence struct {
+	// asked is the sending time of the last question whose answer counts.
+	asked time.Time
+	// pending is the answer that does not count yet.
+	pending answered
+}
+
+// answered is the time of a question and what the answerer had in force.
+type answered struct {
+	asked              time.Time
+	revision, sequence uint64
+}
+
+// position is what this instance has in force.
+type position struct {
+	revision, sequence uint64
+}
+
+func (p position) reaches(a answered) bool { return p.revision >= a.revision && p.sequence >= a.sequence }
+
+// NewConfirmation returns a confirmation without any contact.
+func NewConfirmation() *Confirmation { return &Confirmation{seats: map[string]evidence{}} }
+
+// Store notes that the store has answered a question, and that what it held was in force.
+func (c *Confirmation) Store(asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store = later(c.store, asked)
+}
+
+// StoreAnswered returns when the last question was sent to which the store answered.
+func (c *Confirmation) StoreAnswered() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store
+}
+
+// Answered notes that a process has answered a question, and what it had in force.
+func (c *Confirmation) Answered(process string, asked time.Time, revision, sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seats[process] = c.seats[process].with(answered{asked: asked, revision: revision, sequence: sequence})
+}
+
+// Relayed notes that a peer was itself confirmed as of the given time or later.
+func (c *Confirmation) Relayed(asOf time.Time, revision, sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relayed = c.relayed.with(answered{asked: asOf, revision: revision, sequence: sequence})
+}
+
+// Applied lets pending answers count that this instance has caught up with.
+func (c *Confirmation) applied(p position) {
+	for process, e := range c.seats {
+		c.seats[process] = e.counted(p)
+	}
+	c.relayed = c.relayed.counted(p)
+}
+
+// Since returns the time as of which this instance has missed nothing; zero if it never had contact.
+func (c *Confirmation) Since(f Fleet, self string, revision uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied(position{revision: revision, sequence: f.Sequence})
+	best := later(c.store, c.relayed.asked)
+	return later(best, c.bySeats(f, self, revision))
+}
+
+// BySeats returns the time as of which most seats of every open epoch have answered.
+func (c *Confirmation) BySeats(f Fleet, self string, revision uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied(position{revision: revision, sequence: f.Sequence})
+	return c.bySeats(f, self, revision)
+}
+
+// Forget drops what processes outside the fleet record have answered.
+func (c *Confirmation) Forget(f Fleet) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := map[string]evidence{}
+	for _, set := range f.sets() {
+		for _, s := range set {
+			kept[s.Process()] = c.seats[s.Process()]
+		}
+	}
+	c.seats = kept
+}
+
+func (c *Confirmation) bySeats(f Fleet, self string, revision uint64) time.Time {
+	if revision < f.Revision {
+		return time.Time{}
+	}
+	now := time.Now()
+	var oldest time.Time
+	for _, set := range f.sets() {
+		most := mostOf(set, func(s Seat) time.Time {
+			if s.Process() == self {
+				return now
+			}
+			return c.seats[s.Process()].asked
+		})
+		if oldest.IsZero() || most.Before(oldest) {
+			oldest = most
+		}
+		if most.IsZero() {
+			return time.Time{}
+		}
+	}
+	return oldest
+}
+
+// mostOf returns the latest time that most of the seats have reached.
+func mostOf(set []Seat, at func(Seat) time.Time) time.Time {
+	times := make([]time.Time, 0, len(set))
+	for _, s := range set {
+		times = append(times, at(s))
+	}
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[len(times)/2]
+}
+
+func (e evidence) with(a answered) evidence {
+	if a.asked.Before(e.pending.asked) {
+		return e
+	}
+	e.pending = a
+	return e
+}
+
+func (e evidence) counted(p position) evidence {
+	if p.reaches(e.pending) {
+		e.asked = later(e.asked, e.pending.asked)
+	}
+	return e
+}
+
+// sets returns the seats of the record's epoch and of every open one.
+func (f Fleet) sets() [][]Seat {
+	sets := [][]Seat{f.Seats()}
+	for _, s := range f.Open {
+		sets = append(sets, s.Seats)
+	}
+	return sets
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/core/services/membership/fleet.go
+++ b/core/services/membership/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -22,6 +23,9 @@
 	Members []Registered `json:"members"`
 	// Open holds the seats of earlier epochs that some instance may still rely on, the oldest first.
 	Open []SeatSet `json:"open,omitempty"`
+	// Revision is the configuration that an instance must have in force before contact with seats confirms it; it
+	// covers all that was accepted in epochs that are no longer open.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Registered is one instance in the fleet record.
@@ -46,8 +50,10 @@
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure-domain"`
 	Peer          string `json:"peer"`
-	// Gone is true once the process has certainly ended or given its seat up.
+	// Gone is true once the process has certainly ended.
 	Gone bool `json:"gone,omitempty"`
+	// Settled is true once the process has ended with nothing used or lent.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // SeatSet holds the seats of one epoch.
@@ -103,7 +109,7 @@
 	next.Members = slices.DeleteFunc(slices.Clone(f.Members), replaced)
 	next.Members = append(next.Members, m)
 	slices.SortFunc(next.Members, func(a, b Registered) int { return strings.Compare(a.ID, b.ID) })
-	return f.reseated(next).withGone(func(s Seat) bool {
+	return f.reseated(next).withEnded(false, func(s Seat) bool {
 		return (s.ID == m.ID && s.Incarnation < m.Incarnation) || (s.Peer == m.Peer && s.ID != m.ID)
 	})
 }
@@ -119,23 +125,32 @@
 
 // WithoutLeft returns a record that lacks a process which has given up its seat and all loans for good.
 func (f Fleet) WithoutLeft(id string, incarnation uint64) Fleet {
-	return f.Without(id, incarnation).withGone(func(s Seat) bool { return s.ID == id && s.Incarnation <= incarnation })
+	return f.Without(id, incarnation).withEnded(true, func(s Seat) bool { return s.ID == id && s.Incarnation <= incarnation })
 }
 
-// WithClosed returns a record without the seats of epochs before the given one and without sets whose seats are gone.
-func (f Fleet) WithClosed(epoch uint64) Fleet {
-	f.Open = slices.DeleteFunc(slices.Clone(f.Open), func(s SeatSet) bool {
-		return s.Epoch < epoch || !slices.ContainsFunc(s.Seats, func(s Seat) bool { return !s.Gone })
-	})
+// WithGone returns a record that lacks the named members and counts their processes as ended, as an operator has said.
+func (f Fleet) WithGone(ids []string) Fleet {
+	named := func(id string) bool { return slices.Contains(ids, id) }
+	next := f
+	next.Members = slices.DeleteFunc(slices.Clone(f.Members), func(m Registered) bool { return named(m.ID) })
+	return f.reseated(next).withEnded(false, func(s Seat) bool { return named(s.ID) })
+}
+
+// WithClosed returns a record without the open sets of epochs before the given one; the revision covers all that was
+// accepted in them.
+func (f Fleet) WithClosed(epoch, revision uint64) Fleet {
+	f.Open = slices.DeleteFunc(slices.Clone(f.Open), func(s SeatSet) bool { return s.Epoch < epoch })
+	f.Revision = max(f.Revision, revision)
 	return f
 }
 
-func (f Fleet) withGone(gone func(Seat) bool) Fleet {
+func (f Fleet) withEnded(settled bool, ended func(Seat) bool) Fleet {
 	open := make([]SeatSet, 0, len(f.Open))
 	for _, set := range f.Open {
 		seats := slices.Clone(set.Seats)
 		for n := range seats {
-			seats[n].Gone = seats[n].Gone || gone(seats[n])
+			seats[n].Settled = seats[n].Settled || (settled && ended(seats[n]))
+			seats[n].Gone = seats[n].Gone || ended(seats[n])
 		}
 		open = append(open, SeatSet{Epoch: set.Epoch, Seats: seats})
 	}
@@ -206,4 +221,9 @@
 	return Seat{ID: m.ID, Incarnation: m.Incarnation, Region: m.Region, FailureDomain: m.FailureDomain, Peer: m.Peer}
 }
 
+// Process names one process for its whole life; a later one with the same ID has another name.
+func (s Seat) Process() string { return processName(s.ID, s.Incarnation) }
+
+func processName(id string, incarnation uint64) string { return id + "/" + strconv.FormatUint(incarnation, 10) }
+
 func sameProcess(a, b Seat) bool { return a.ID == b.ID && a.Incarnation == b.Incarnation }
--- a/core/services/membership/fleet_test.go
+++ b/core/services/membership/fleet_test.go
@@ -97,8 +97,8 @@
 	if len(byAddress.Members) != 1 || !byAddress.Open[0].Seats[0].Gone {
 		t.Errorf("replaced under the same address: %+v", byAddress)
 	}
-	if closed := byID.WithClosed(0); len(closed.Open) != 0 {
-		t.Errorf("a set of gone seats stays open: %+v", closed)
+	if closed := byID.WithClosed(2, 5); len(closed.Open) != 0 || closed.Revision != 5 {
+		t.Errorf("a closed set stays open: %+v", closed)
 	}
 }
 
