Exchange heartbeats, confirm instances and accept writes at most seats

Cause: each instance watched the store, confirmed was always true, and a write was accepted as soon as the store had it. Change: membership.Exchanger sends messages over net/rpc with revision, chain, fleet record and missing changes; Confirmation counts contact from the sending of a question, and only if this instance has in force what the answerer had; Epochs tells when earlier epochs are over; Registration keeps the record, removes members that are silent to all seats that can be asked and closes epochs. Three instances watch the store; the rest learn from peers. A write is accepted in force at most seats, otherwise 202 with the instances that lack it; it may be sent again under its identifier. The store is checked for what is in force and not obeyed if it lacks it; the log is archived in images; peers serve images to newcomers while the store is down.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -28,28 +28,30 @@
 )
 
 const (
-	// loadRetry is the pause between attempts to read the configuration at the start.
-	loadRetry = 200 * time.Millisecond
+	// spreadRounds is the number of rounds of heartbeats in which all instances learn that one is leaving.
+	spreadRounds = 4
 	// operatorStopTimeout bounds the end of the operators' connections.
 	operatorStopTimeout = 2 * time.Second
 )
 
 // Instance is one entry instance.
 type Instance struct {
-	settings  settings.Settings
-	logger    *zap.Logger
-	store     platform.Store
-	state     *configuration.State
-	reader    *configuration.Reader
-	table     *membership.Table
-	directory *membership.Directory
-	sender    *target.Sender
-	meter     *meter.Meter
-	peers     *peer.Server
-	caller    *http.Server
-	operator  *http.Server
+	settings settings.Settings
+	logger   *zap.Logger
+	store    platform.Store
+	state    *configuration.State
+	reader   *configuration.Reader
+	table    *membership.Table
+	fleet    fleet
+	sender   *target.Sender
+	meter    *meter.Meter
+	peers    *peer.Server
+	caller   *http.Server
+	operator *http.Server
 	// lifecycle holds a membership.State.
 	lifecycle atomic.Value
+	// running counts the callers' requests that are being served.
+	running atomic.Int64
 }
 
 // listeners are the open sockets of an instance.
@@ -63,19 +65,22 @@
 	state := configuration.NewState()
 	i := &Instance{
 		settings: s, logger: logger, store: store, state: state,
-		reader: configuration.NewReader(store, state, logger),
 		table:  membership.NewTable(),
 		sender: target.NewSender(),
 		meter:  meter.New(),
 		peers:  peer.NewServer(),
 	}
 	i.lifecycle.Store(membership.StateStarting)
-	i.directory = membership.NewDirectory(store, i.table, i.self, logger)
+	i.fleet = i.newFleet()
+	i.reader = i.newReader()
 	place := steering.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
 	dispatcher := dispatch.New(state, steering.New(place), i.sender, i.confirmed, logger)
-	i.caller = i.server(caller.New(dispatcher, i.locate, i.meter, logger))
+	i.caller = i.server(i.track(caller.New(dispatcher, i.locate, i.meter, logger)))
 	writer := configuration.NewWriter(store, state)
-	i.operator = i.server(operator.New(state, writer, i.status, i.meter, logger))
+	writer.Contact = i.fleet.exchanger.InContact
+	router := operator.New(state, writer, i.status, i.meter, logger)
+	router.InForce = i.fleet.exchanger.InForce
+	i.operator = i.server(router)
 	return i
 }
 
@@ -93,7 +98,10 @@
 		return err
 	}
 	tree.Start(duty.Duty{Name: "configuration-reader", Run: i.reader.Run})
-	tree.Start(duty.Duty{Name: "directory", Run: i.directory.Run})
+	tree.Start(duty.Duty{Name: "heartbeats", Run: i.fleet.exchanger.Run})
+	tree.Start(duty.Duty{Name: "archive", Run: i.fleet.archive.Run})
+	i.meetPeers(ctx)
+	tree.Start(duty.Duty{Name: "registration", Run: i.fleet.registration.Run})
 	tree.Start(duty.Duty{Name: "caller-server", Run: serve(i.caller, l.caller)})
 	i.lifecycle.Store(membership.StateReady)
 	i.logger.Info("ready", zap.Uint64(logging.FieldRevision, i.state.View().Revision))
@@ -107,14 +115,13 @@
 	i.lifecycle.Store(membership.StateLeaving)
 	i.logger.Info("leaving")
 	ctx := context.Background()
-	if err := i.directory.Refresh(ctx); err != nil {
-		i.logger.Warn("cannot announce the stop", zap.Error(err))
-	}
-	time.Sleep(i.settings.Requests.LookupTTL)
+	bounded, stopAnnouncing := context.WithTimeout(ctx, leaveTimeout)
+	i.fleet.exchanger.Announce(bounded)
+	stopAnnouncing()
+	time.Sleep(i.settings.Requests.LookupTTL + spreadRounds*i.settings.Peers.HeartbeatInterval)
+	i.leave(ctx)
 	_ = i.caller.Shutdown(ctx)
-	if err := i.directory.Withdraw(ctx); err != nil {
-		i.logger.Warn("cannot withdraw", zap.Error(err))
-	}
+	i.withdraw(ctx)
 	bounded, cancel := context.WithTimeout(ctx, operatorStopTimeout)
 	defer cancel()
 	if err := i.operator.Shutdown(bounded); err != nil {
@@ -122,26 +129,11 @@
 	}
 	_ = l.peer.Close()
 	i.peers.Close()
+	i.fleet.pool.Close()
 	i.sender.Close()
 	i.logger.Info("stopped")
 }
 
-// load reads the configuration, trying again until the store answers or the context ends.
-func (i *Instance) load(ctx context.Context) error {
-	for {
-		err := i.reader.Load(ctx)
-		if err == nil {
-			return nil
-		}
-		i.logger.Warn("cannot read the configuration yet", zap.Error(err))
-		select {
-		case <-time.After(loadRetry):
-		case <-ctx.Done():
-			return trace.Wrap(context.Cause(ctx))
-		}
-	}
-}
-
 func (i *Instance) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var c net.ListenConfig
@@ -181,27 +173,45 @@
 	}
 }
 
+// track counts the requests that are being served, and lets callers know while the instance is leaving that a connection
+// will not be used again.
+func (i *Instance) track(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		i.running.Add(1)
+		defer i.running.Add(-1)
+		if i.lifecycle.Load() == membership.StateLeaving {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (i *Instance) self() membership.Member {
 	s := i.settings
 	state, _ := i.lifecycle.Load().(membership.State)
 	return membership.Member{
-		ID: s.Instance.ID, Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain,
+		ID: s.Instance.ID, Incarnation: i.fleet.incarnation, Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain,
 		Caller: s.Listen.Caller, Operator: s.Listen.Operator, Peer: s.Listen.Peer,
-		State: state, Revision: i.state.View().Revision,
+		State: state, Revision: i.state.View().Revision, Running: int(i.running.Load()),
 	}
 }
 
-func (i *Instance) confirmed() bool { return true }
+// refreshSelf brings the table's entry for this instance up to date.
+func (i *Instance) refreshSelf() {
+	self := i.self()
+	self.Confirmed = i.confirmed()
+	i.table.Put(self)
+}
 
 func (i *Instance) status() operator.Status {
 	v := i.state.View()
+	i.refreshSelf()
+	f := i.fleet.registrar.Fleet()
+	condition := i.reader.Condition()
 	return operator.Status{
 		Self: i.self(), Members: i.table.All(), Revision: v.Revision, Chain: v.Chain,
-		Confirmed:      i.confirmed(),
-		StoreReachable: time.Since(i.reader.Confirmed()) < storeSilence,
-		StoreDiverged:  i.reader.Diverged(),
+		Confirmed: i.confirmed(), InContact: i.fleet.exchanger.InContact(),
+		Store: condition, PeersDiverged: i.fleet.exchanger.Diverged(),
+		Epoch: f.Epoch, Seats: f.Seats(), OpenEpochs: len(f.Open),
 	}
 }
-
-// storeSilence is how long the store may be silent before status calls it unreachable; a watch may wait for 10 s.
-const storeSilence = 15 * time.Second
--- a/core/instance/locate.go
+++ b/core/instance/locate.go
@@ -23,6 +23,7 @@
 		return caller.Located{}, refused
 	}
 	region, failureDomain := i.placeOf(snapshot, client)
+	i.refreshSelf()
 	return caller.Located{
 		Instances: i.table.Nearest(region, failureDomain),
 		TTL:       i.settings.Requests.LookupTTL,
--- a/core/modules/refusal/refusal.go
+++ b/core/modules/refusal/refusal.go
@@ -40,6 +40,7 @@
 	VersionConflict  Reason = "version-conflict"
 	VersionTooOld    Reason = "version-too-old"
 	StoreUnavailable Reason = "store-unavailable"
+	StoreBehind      Reason = "store-behind"
 	Internal         Reason = "internal"
 )
 
--- a/core/routers/operator/errors.go
+++ b/core/routers/operator/errors.go
@@ -26,6 +26,11 @@
 		tooOld      *configuration.ErrVersionTooOld
 		unknown     *configuration.ErrUnknown
 		unavailable *configuration.ErrStoreUnavailable
+		behind      *configuration.ErrStoreBehind
+		noContact   *configuration.ErrNoContact
+		taken       *configuration.ErrIDTaken
+		tooFar      *configuration.ErrTooFarBehind
+		diverged    *configuration.ErrDiverged
 		tooLarge    *http.MaxBytesError
 	)
 	switch {
@@ -45,6 +50,12 @@
 		return refusal.NewRan(http.StatusGatewayTimeout, refusal.OutcomeUnknown, err.Error())
 	case errors.As(err, &unavailable):
 		return refusal.New(http.StatusServiceUnavailable, refusal.StoreUnavailable, err.Error()).WithRetryAfter(storeRetryAfter)
+	case errors.As(err, &behind), errors.As(err, &diverged), errors.As(err, &tooFar):
+		return refusal.New(http.StatusServiceUnavailable, refusal.StoreBehind, err.Error())
+	case errors.As(err, &noContact):
+		return refusal.New(http.StatusServiceUnavailable, refusal.Unconfirmed, err.Error()).WithRetryAfter(storeRetryAfter)
+	case errors.As(err, &taken):
+		return refusal.New(http.StatusConflict, refusal.VersionConflict, err.Error())
 	case errors.As(err, &tooLarge):
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
 	default:
--- a/core/routers/operator/operator.go
+++ b/core/routers/operator/operator.go
@@ -2,10 +2,12 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +20,12 @@
 const (
 	// maxBodyBytes bounds the body of a write.
 	maxBodyBytes = 256 << 10
+	// maxIDLength bounds the identifier that a client chooses for a change.
+	maxIDLength = 64
+	// writeTimeout bounds the wait for the store to take a change.
+	writeTimeout = 5 * time.Second
+	// inForceTimeout bounds the wait for a change to be in force at most seats.
+	inForceTimeout = 2 * time.Second
 	// defaultHistory and maxHistory bound the changes in an answer.
 	defaultHistory = 100
 	maxHistory     = 1000
@@ -25,6 +33,10 @@
 
 // Router serves the operators' address.
 type Router struct {
+	// InForce waits until a revision is in force at most seats, and returns whether it is and the instances at which it is
+	// not known to be; nil means that there are no others.
+	InForce func(ctx context.Context, revision uint64) (bool, []string)
+
 	state  *configuration.State
 	writer *configuration.Writer
 	status func() Status
@@ -60,6 +72,8 @@
 func (t *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
 
 type wireWrite struct {
+	// ID names the change, so that it can be sent again without being applied twice; empty for a random one.
+	ID       string            `json:"id,omitempty"`
 	Actor    string            `json:"actor"`
 	Reason   string            `json:"reason"`
 	Resource resource.Resource `json:"resource"`
@@ -74,6 +88,10 @@
 	ID       string            `json:"id"`
 	Revision uint64            `json:"revision"`
 	Resource resource.Resource `json:"resource"`
+	// Accepted is true once the change is in force at most seats; until then the status is 202.
+	Accepted bool `json:"accepted"`
+	// NotInForce names the instances at which the change is not known to be in force yet.
+	NotInForce []string `json:"not-in-force"`
 }
 
 func (t *Router) list(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +142,9 @@
 		refused.Write(w)
 		return
 	}
-	t.submit(w, r, configuration.Request{Actor: body.Actor, Reason: body.Reason, Action: action, Resource: body.Resource})
+	t.submit(w, r, configuration.Request{
+		ID: body.ID, Actor: body.Actor, Reason: body.Reason, Action: action, Resource: body.Resource,
+	})
 }
 
 func (t *Router) remove(w http.ResponseWriter, r *http.Request) {
@@ -136,7 +156,7 @@
 		return
 	}
 	t.submit(w, r, configuration.Request{
-		Actor: query.Get("actor"), Reason: query.Get("reason"), Action: configuration.ActionDelete, Resource: doomed,
+		ID: query.Get("id"), Actor: query.Get("actor"), Reason: query.Get("reason"), Action: configuration.ActionDelete, Resource: doomed,
 	})
 }
 
@@ -145,7 +165,13 @@
 		refusal.New(http.StatusBadRequest, refusal.Invalid, "name an actor and a reason").Write(w)
 		return
 	}
-	record, err := t.writer.Write(r.Context(), q)
+	if len(q.ID) > maxIDLength {
+		refusal.New(http.StatusBadRequest, refusal.Invalid, "the identifier of the change is too long").Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
+	defer cancel()
+	record, err := t.writer.Write(ctx, q)
 	if err != nil {
 		refusalOf(err).Write(w)
 		return
@@ -153,13 +179,30 @@
 	t.logger.Info("change accepted", zap.Uint64("revision", record.Revision), zap.String("actor", record.Actor),
 		zap.String("action", string(record.Action)), zap.String("kind", string(record.Resource.Kind)),
 		zap.String("name", record.Resource.Name))
+	t.accept(w, r, record)
+}
+
+// accept answers a write that the store has taken, once it is in force at most seats or the wait for that is over.
+func (t *Router) accept(w http.ResponseWriter, r *http.Request, record configuration.Record) {
+	answer := wireAccepted{
+		ID: record.ID, Revision: record.Revision, Resource: record.Resource.WithVersion(record.Revision),
+		Accepted: true, NotInForce: []string{},
+	}
+	if t.InForce != nil {
+		ctx, cancel := context.WithTimeout(r.Context(), inForceTimeout)
+		defer cancel()
+		var lacking []string
+		answer.Accepted, lacking = t.InForce(ctx, record.Revision)
+		answer.NotInForce = append(answer.NotInForce, lacking...)
+	}
 	status := http.StatusOK
-	if q.Action == configuration.ActionCreate {
+	switch {
+	case !answer.Accepted:
+		status = http.StatusAccepted
+	case record.Action == configuration.ActionCreate:
 		status = http.StatusCreated
 	}
-	writeJSON(w, status, wireAccepted{
-		ID: record.ID, Revision: record.Revision, Resource: record.Resource.WithVersion(record.Revision),
-	})
+	writeJSON(w, status, answer)
 }
 
 func checkKind(kind resource.Kind) *refusal.Refusal {
--- a/core/routers/operator/status.go
+++ b/core/routers/operator/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"medlarpond.dev/core/services/configuration"
 	"medlarpond.dev/core/services/membership"
@@ -15,18 +16,27 @@
 	Chain    configuration.Chain
 	// Confirmed is false while keyed routes are refused for lack of contact.
 	Confirmed bool
-	// StoreReachable is false while the store does not answer.
-	StoreReachable bool
-	// StoreDiverged is true while the store holds another history than the one in force.
-	StoreDiverged bool
+	// InContact is false while most seats do not answer; writes are refused then.
+	InContact bool
+	// Store is how the store relates to what is in force.
+	Store configuration.Condition
+	// PeersDiverged is true while another instance has other changes than this one.
+	PeersDiverged bool
+	// Epoch is the fleet's epoch, with its seats, and OpenEpochs the number of earlier ones that are not over.
+	Epoch      uint64
+	Seats      []membership.Seat
+	OpenEpochs int
 }
 
 type wireMember struct {
 	ID            string `json:"id"`
+	Incarnation   uint64 `json:"incarnation"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure-domain"`
 	State         string `json:"state"`
 	Revision      uint64 `json:"revision"`
+	Confirmed     bool   `json:"confirmed"`
+	Seat          bool   `json:"seat"`
 }
 
 type wireStatus struct {
@@ -35,25 +45,41 @@
 	Revision       uint64       `json:"revision"`
 	Chain          string       `json:"chain"`
 	InForce        int          `json:"in-force"`
+	NotInForce     []string     `json:"not-in-force"`
 	Confirmed      bool         `json:"confirmed"`
+	InContact      bool         `json:"in-contact"`
+	Store          string       `json:"store"`
 	StoreReachable bool         `json:"store-reachable"`
 	StoreDiverged  bool         `json:"store-diverged"`
+	PeersDiverged  bool         `json:"peers-diverged"`
+	Epoch          uint64       `json:"epoch"`
+	OpenEpochs     int          `json:"open-epochs"`
 }
 
-func wireMemberOf(m membership.Member) wireMember {
-	return wireMember{ID: m.ID, Region: m.Region, FailureDomain: m.FailureDomain, State: string(m.State), Revision: m.Revision}
+func (s Status) wireMemberOf(m membership.Member) wireMember {
+	return wireMember{
+		ID: m.ID, Incarnation: m.Incarnation, Region: m.Region, FailureDomain: m.FailureDomain,
+		State: string(m.State), Revision: m.Revision, Confirmed: m.Confirmed,
+		Seat: slices.ContainsFunc(s.Seats, func(seat membership.Seat) bool { return seat.Process() == m.Process() }),
+	}
 }
 
 func (t *Router) showStatus(w http.ResponseWriter, _ *http.Request) {
 	s := t.status()
 	answer := wireStatus{
-		Self: wireMemberOf(s.Self), Members: []wireMember{}, Revision: s.Revision, Chain: string(s.Chain),
-		Confirmed: s.Confirmed, StoreReachable: s.StoreReachable, StoreDiverged: s.StoreDiverged,
+		Self: s.wireMemberOf(s.Self), Members: []wireMember{}, Revision: s.Revision, Chain: string(s.Chain),
+		NotInForce: []string{}, Confirmed: s.Confirmed, InContact: s.InContact, Store: string(s.Store),
+		StoreReachable: s.Store != configuration.ConditionUnreachable,
+		StoreDiverged:  s.Store == configuration.ConditionBehind || s.Store == configuration.ConditionDiverged,
+		PeersDiverged:  s.PeersDiverged, Epoch: s.Epoch, OpenEpochs: s.OpenEpochs,
 	}
+	answer.Self.Confirmed = s.Confirmed
 	for _, m := range s.Members {
-		answer.Members = append(answer.Members, wireMemberOf(m))
+		answer.Members = append(answer.Members, s.wireMemberOf(m))
 		if m.Revision >= s.Revision {
 			answer.InForce++
+		} else {
+			answer.NotInForce = append(answer.NotInForce, m.ID)
 		}
 	}
 	writeJSON(w, http.StatusOK, answer)
--- a/core/services/configuration/reader.go
+++ b/core/services/configuration/reader.go
@@ -125,21 +125,25 @@
 	retry := storeRetry
 	for ctx.Err() == nil {
 		r.await(ctx)
-		err := r.step(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		r.note(err)
-		if err == nil {
-			retry = storeRetry
-			continue
-		}
-		pause(ctx, retry/2+time.Duration(rand.Int64N(int64(retry))))
-		retry = min(2*retry, maxStoreRetry)
+		retry = r.follow(ctx, retry)
 	}
 	return nil
 }
 
+// follow reads once; after a failure it waits for about the given pause. It returns the pause for the next failure.
+func (r *Reader) follow(ctx context.Context, retry time.Duration) time.Duration {
+	err := r.step(ctx)
+	if ctx.Err() != nil {
+		return retry
+	}
+	r.note(err)
+	if err == nil {
+		return storeRetry
+	}
+	pause(ctx, retry/2+time.Duration(rand.Int64N(int64(retry))))
+	return min(2*retry, maxStoreRetry)
+}
+
 // await returns when it is time to read: at once for an instance that keeps a watch.
 func (r *Reader) await(ctx context.Context) {
 	spread := rand.Float64() + 0.5
--- a/core/services/membership/confirmation.go
+++ b/core/services/membership/confirmation.go
@@ -37,7 +37,9 @@
 	revision, sequence uint64
 }
 
-func (p position) reaches(a answered) bool { return p.revision >= a.revision && p.sequence >= a.sequence }
+func (p position) reaches(a answered) bool {
+	return p.revision >= a.revision && p.sequence >= a.sequence
+}
 
 // NewConfirmation returns a confirmation without any contact.
 func NewConfirmation() *Confirmation { return &Confirmation{seats: map[string]evidence{}} }
@@ -70,7 +72,7 @@
 	c.relayed = c.relayed.with(answered{asked: asOf, revision: revision, sequence: sequence})
 }
 
-// Applied lets pending answers count that this instance has caught up with.
+// applied lets pending answers count that this instance has caught up with.
 func (c *Confirmation) applied(p position) {
 	for process, e := range c.seats {
 		c.seats[process] = e.counted(p)
@@ -82,17 +84,15 @@
 func (c *Confirmation) Since(f Fleet, self string, revision uint64) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.applied(position{revision: revision, sequence: f.Sequence})
-	best := later(c.store, c.relayed.asked)
-	return later(best, c.bySeats(f, self, revision))
+	return later(c.store, c.byPeers(f, self, revision))
 }
 
-// BySeats returns the time as of which most seats of every open epoch have answered.
-func (c *Confirmation) BySeats(f Fleet, self string, revision uint64) time.Time {
+// ByPeers returns the time as of which this instance has missed nothing, without what the store has told it itself: that
+// of most seats of every open epoch, or of a confirmed peer.
+func (c *Confirmation) ByPeers(f Fleet, self string, revision uint64) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.applied(position{revision: revision, sequence: f.Sequence})
-	return c.bySeats(f, self, revision)
+	return c.byPeers(f, self, revision)
 }
 
 // Forget drops what processes outside the fleet record have answered.
@@ -108,6 +108,11 @@
 	c.seats = kept
 }
 
+func (c *Confirmation) byPeers(f Fleet, self string, revision uint64) time.Time {
+	c.applied(position{revision: revision, sequence: f.Sequence})
+	return later(c.relayed.asked, c.bySeats(f, self, revision))
+}
+
 func (c *Confirmation) bySeats(f Fleet, self string, revision uint64) time.Time {
 	if revision < f.Revision {
 		return time.Time{}
--- a/core/services/membership/exchanger.go
+++ b/core/services/membership/exchanger.go
@@ -120,9 +120,9 @@
 	return x.within(x.Confirmation.Since(x.Registrar.Fleet(), x.Self().Process(), x.State.View().Revision))
 }
 
-// InContact reports whether most seats of every open epoch have answered within the confirm timeout.
+// InContact reports whether peers alone, without the store, confirm this instance.
 func (x *Exchanger) InContact() bool {
-	return x.within(x.Confirmation.BySeats(x.Registrar.Fleet(), x.Self().Process(), x.State.View().Revision))
+	return x.within(x.Confirmation.ByPeers(x.Registrar.Fleet(), x.Self().Process(), x.State.View().Revision))
 }
 
 // Diverged reports whether a peer at the same revision has another history.
--- a/core/services/membership/fleet.go
+++ b/core/services/membership/fleet.go
@@ -224,6 +224,8 @@
 // Process names one process for its whole life; a later one with the same ID has another name.
 func (s Seat) Process() string { return processName(s.ID, s.Incarnation) }
 
-func processName(id string, incarnation uint64) string { return id + "/" + strconv.FormatUint(incarnation, 10) }
+func processName(id string, incarnation uint64) string {
+	return id + "/" + strconv.FormatUint(incarnation, 10)
+}
 
 func sameProcess(a, b Seat) bool { return a.ID == b.ID && a.Incarnation == b.Incarnation }
--- a/core/services/membership/registrar.go
+++ b/core/services/membership/registrar.go
@@ -30,6 +30,8 @@
 	fleet Fleet
 	// changed is closed and replaced when a newer record is adopted.
 	changed chan struct{}
+	// stale is true if the store was last seen to hold an older or another record.
+	stale bool
 }
 
 // NewRegistrar returns a registrar that knows no record yet.
@@ -58,7 +60,7 @@
 	if f.Sequence <= r.fleet.Sequence {
 		return false
 	}
-	r.fleet = f
+	r.fleet, r.stale = f, false
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return true
@@ -70,10 +72,27 @@
 	if err != nil {
 		return err
 	}
-	r.Adopt(stored)
+	if !r.Adopt(stored) {
+		r.compare(stored)
+	}
 	return nil
 }
 
+// Stale reports whether the store holds an older or another record than the one known, and has to be given this one.
+func (r *Registrar) Stale() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stale
+}
+
+func (r *Registrar) compare(stored Fleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mine, _ := r.fleet.Encode()
+	theirs, _ := stored.Encode()
+	r.stale = string(mine) != string(theirs)
+}
+
 // Change applies an idempotent change to the newest record by compare-and-swap, until it is stored or unneeded or the
 // store fails. The function returns false if the record needs no change.
 func (r *Registrar) Change(ctx context.Context, change func(Fleet) (Fleet, bool)) error {
@@ -82,14 +101,16 @@
 		if err != nil {
 			return err
 		}
-		r.Adopt(base)
+		if !r.Adopt(base) {
+			r.compare(base)
+		}
 		known := r.Fleet()
 		if base.Sequence < known.Sequence {
 			r.logger.Warn("the store holds an older fleet record than is known; writing the known one",
 				zap.Uint64("stored", base.Sequence), zap.Uint64("known", known.Sequence))
 		}
 		next, needed := change(known)
-		if !needed && base.Sequence == known.Sequence {
+		if !needed && !r.Stale() {
 			return nil
 		}
 		next.Sequence = known.Sequence + 1
--- a/core/services/membership/registration.go
+++ b/core/services/membership/registration.go
@@ -93,7 +93,7 @@
 
 // tend makes the changes that the record needs from this instance.
 func (r *Registration) tend(ctx context.Context) error {
-	if r.needless(r.Registrar.Fleet()) {
+	if r.needless(r.Registrar.Fleet()) && !r.Registrar.Stale() {
 		return nil
 	}
 	return r.Registrar.Change(ctx, func(f Fleet) (Fleet, bool) {
--- a/core/services/membership/silence.go
+++ b/core/services/membership/silence.go
@@ -37,8 +37,8 @@
 	s.reports[process][seat] = report{age: age, at: at}
 }
 
-// Dead returns the members that a seat should remove: silent to it and to every seat that it hears, of which there is at
-// least one other unless the record has no other living seat.
+// Dead returns the members that a seat should remove: silent to it and to every other seat that it hears, of which there
+// is at least one.
 func (s *Silence) Dead(f Fleet, self string, t *Table) []Registered {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,6 +54,7 @@
 
 func (s *Silence) agreed(f Fleet, m Registered, self string, t *Table) bool {
 	reports := s.reports[m.member().Process()]
+	witnesses := 0
 	for _, seat := range f.Seats() {
 		if seat.ID == self || seat.ID == m.ID || t.Silent(seat.ID, seat.Incarnation) > removalTimeout {
 			continue
@@ -62,8 +63,9 @@
 		if time.Since(said.at) > reportTimeout || said.age < removalTimeout {
 			return false
 		}
+		witnesses++
 	}
-	return true
+	return witnesses > 0
 }
 
 func (s *Silence) forget(f Fleet) {
--- /dev/null
+++ b/core/standin/platform/seam.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"medlarpond.dev/core/models/platform"
+)
+
+// seamTimeout bounds a call of the seam, as a client of the service would.
+const seamTimeout = time.Second
+
+// Store returns a seam to the stand-in without a network between, for tests whose clock is not the machine's.
+func (p *Platform) Store() platform.Store {
+	return platform.Store{Get: p.seamGet, Put: p.seamPut, Delete: p.seamDelete, List: p.seamList, WaitFor: p.seamWait}
+}
+
+// begin counts a call and behaves as the faults say.
+func (p *Platform) begin(ctx context.Context) (Faults, error) {
+	p.mu.Lock()
+	p.calls++
+	f := p.faults
+	p.mu.Unlock()
+	delay := f.Delay
+	if f.Silent {
+		delay = seamTimeout
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(min(delay, seamTimeout)):
+		case <-ctx.Done():
+		}
+	}
+	if f.Down || f.Silent || delay >= seamTimeout || ctx.Err() != nil {
+		return f, &platform.ErrUnavailable{Cause: context.DeadlineExceeded}
+	}
+	return f, nil
+}
+
+func (p *Platform) seamGet(ctx context.Context, key string) (platform.Entry, error) {
+	if _, err := p.begin(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entryOf(key)
+}
+
+func (p *Platform) entryOf(key string) (platform.Entry, error) {
+	e, ok := p.entries[key]
+	if !ok {
+		return platform.Entry{}, &platform.ErrKeyNotExist{Key: key}
+	}
+	return platform.Entry{Key: key, Value: e.value, Version: e.index}, nil
+}
+
+func (p *Platform) seamPut(ctx context.Context, key string, value []byte, expected uint64) error {
+	return p.seamWrite(ctx, key, expected, func() { p.entries[key] = entry{value: value, index: p.index} })
+}
+
+func (p *Platform) seamDelete(ctx context.Context, key string, expected uint64) error {
+	return p.seamWrite(ctx, key, expected, func() { delete(p.entries, key) })
+}
+
+func (p *Platform) seamWrite(ctx context.Context, key string, expected uint64, write func()) error {
+	f, err := p.begin(ctx)
+	if f.Silent {
+		return &platform.ErrOutcomeUnknown{Key: key, Cause: err}
+	}
+	if err != nil {
+		return err
+	}
+	if f.LoseWrite {
+		return &platform.ErrOutcomeUnknown{Key: key, Cause: context.DeadlineExceeded}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.entries[key].index != expected {
+		return &platform.ErrConflict{Key: key}
+	}
+	p.index++
+	write()
+	p.broadcast()
+	if f.LoseWriteAnswer {
+		return &platform.ErrOutcomeUnknown{Key: key, Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+func (p *Platform) seamList(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if _, err := p.begin(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var entries []platform.Entry
+	for _, w := range p.find(prefix, true) {
+		if strings.HasPrefix(w.Key, prefix) {
+			entries = append(entries, platform.Entry{Key: w.Key, Value: w.Value, Version: w.ModifyIndex})
+		}
+	}
+	return entries, nil
+}
+
+func (p *Platform) seamWait(ctx context.Context, key string, known uint64, wait time.Duration) (platform.Entry, error) {
+	if _, err := p.begin(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		changed, down := p.changed, p.faults.Down
+		e, err := p.entryOf(key)
+		p.mu.Unlock()
+		if down {
+			return platform.Entry{}, &platform.ErrUnavailable{Cause: context.DeadlineExceeded}
+		}
+		if err == nil && e.Version != known {
+			return e, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return e, err
+		case <-ctx.Done():
+			return platform.Entry{}, &platform.ErrUnavailable{Cause: context.Cause(ctx)}
+		}
+	}
+}
