--- a/mpctl/api/client.go
+++ b/mpctl/api/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +17,13 @@
 	"medlarpond.dev/core/services/configuration"
 )
 
-// callTimeout bounds every call but a watch.
-const callTimeout = 10 * time.Second
+const (
+	// callTimeout bounds every call but a watch.
+	callTimeout = 10 * time.Second
+	// resends is how often a write of unknown outcome is sent again, and resendPause the pause before.
+	resends     = 2
+	resendPause = time.Second
+)
 
 // Client calls one instance.
 type Client struct {
@@ -47,6 +53,10 @@
 	ID       string            `json:"id"`
 	Revision uint64            `json:"revision"`
 	Resource resource.Resource `json:"resource"`
+	// Accepted is false while the change is stored, but not in force at most seats.
+	Accepted bool `json:"accepted"`
+	// NotInForce names the instances at which the change is not known to be in force.
+	NotInForce []string `json:"not-in-force"`
 }
 
 // History is a list of changes, the newest first.
@@ -66,6 +76,8 @@
 type Author struct {
 	Actor  string
 	Reason string
+	// ID names the change, so that sending it again does not apply it twice.
+	ID string
 }
 
 // New returns a client for an instance's operator address, given as a URL.
@@ -82,6 +94,7 @@
 }
 
 type wireWrite struct {
+	ID       string            `json:"id,omitempty"`
 	Actor    string            `json:"actor"`
 	Reason   string            `json:"reason"`
 	Resource resource.Resource `json:"resource"`
@@ -89,14 +102,14 @@
 
 // Create creates a resource.
 func (c *Client) Create(ctx context.Context, a Author, r resource.Resource) (Accepted, error) {
-	body := wireWrite{Actor: a.Actor, Reason: a.Reason, Resource: r}
-	return call[Accepted](ctx, c, http.MethodPost, "/v1/resources/"+string(r.Kind), body)
+	body := wireWrite{ID: a.ID, Actor: a.Actor, Reason: a.Reason, Resource: r}
+	return write(ctx, c, http.MethodPost, "/v1/resources/"+string(r.Kind), body)
 }
 
 // Update replaces a resource whose version was read.
 func (c *Client) Update(ctx context.Context, a Author, r resource.Resource) (Accepted, error) {
-	body := wireWrite{Actor: a.Actor, Reason: a.Reason, Resource: r}
-	return call[Accepted](ctx, c, http.MethodPut, "/v1/resources/"+string(r.Kind)+"/"+url.PathEscape(r.Name), body)
+	body := wireWrite{ID: a.ID, Actor: a.Actor, Reason: a.Reason, Resource: r}
+	return write(ctx, c, http.MethodPut, "/v1/resources/"+string(r.Kind)+"/"+url.PathEscape(r.Name), body)
 }
 
 // Delete deletes a resource whose version was read.
@@ -104,8 +117,11 @@
 	query := url.Values{
 		"actor": {a.Actor}, "reason": {a.Reason}, "version": {strconv.FormatUint(r.Version, 10)},
 	}
+	if a.ID != "" {
+		query.Set("id", a.ID)
+	}
 	path := "/v1/resources/" + string(r.Kind) + "/" + url.PathEscape(r.Name) + "?" + query.Encode()
-	return call[Accepted](ctx, c, http.MethodDelete, path, nil)
+	return write(ctx, c, http.MethodDelete, path, nil)
 }
 
 // History returns the latest changes; empty kind and name select all.
@@ -147,6 +163,58 @@
 	}
 }
 
+// errFound ends a watch that has found what it looked for.
+var errFound = errors.New("found")
+
+// Change returns the change with the given revision.
+func (c *Client) Change(ctx context.Context, revision uint64) (configuration.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	missing := &ErrRefused{Status: http.StatusNotFound, Reason: "not-found", Message: fmt.Sprintf("no change has revision %d", revision)}
+	list, err := c.List(ctx, resource.KindRegion)
+	if err != nil {
+		return configuration.Change{}, err
+	}
+	if revision == 0 || revision > list.Revision {
+		return configuration.Change{}, missing
+	}
+	var found configuration.Change
+	err = c.Watch(ctx, revision-1, "", func(e Event) error {
+		if e.Change == nil || e.Revision != revision {
+			return missing
+		}
+		found = *e.Change
+		return errFound
+	})
+	if errors.Is(err, errFound) {
+		return found, nil
+	}
+	return configuration.Change{}, err
+}
+
+// write sends a change and, if it does not learn of its outcome, sends it again under the same identifier.
+func write(ctx context.Context, c *Client, method, path string, body any) (Accepted, error) {
+	a, err := call[Accepted](ctx, c, method, path, body)
+	for range resends {
+		if err == nil || !isUnclear(err) {
+			break
+		}
+		select {
+		case <-time.After(resendPause):
+		case <-ctx.Done():
+			return a, err
+		}
+		a, err = call[Accepted](ctx, c, method, path, body)
+	}
+	return a, err
+}
+
+// isUnclear reports whether a write that failed so may have been applied.
+func isUnclear(err error) bool {
+	var refused *ErrRefused
+	return !errors.As(err, &refused) || refused.Reason == "outcome-unknown"
+}
+
 func call[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
 	var result T
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/mpctl/main.go
+++ b/mpctl/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"os/user"
 	"syscall"
+	"time"
 
 	flags "github.com/jessevdk/go-flags"
 
@@ -22,14 +23,18 @@
 	exitNotFound = 3
 	exitConflict = 4
 	exitUnknown  = 5
+	// exitNotInForce is for a change that is stored, but not in force where it should be.
+	exitNotInForce = 6
 )
 
 // options are the flags that all commands share.
 type options struct {
-	Server string `long:"server" env:"MEDLARPOND_SERVER" default:"http://127.0.0.1:7201" description:"operator address of any entry instance"`
-	Output string `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"output format"`
-	Actor  string `long:"actor" env:"MEDLARPOND_ACTOR" description:"who makes the change (default: the login name)"`
-	Reason string `short:"m" long:"reason" description:"why the change is made; required for changes"`
+	Server string        `long:"server" env:"MEDLARPOND_SERVER" default:"http://127.0.0.1:7201" description:"operator address of any entry instance"`
+	Output string        `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"output format"`
+	Actor  string        `long:"actor" env:"MEDLARPOND_ACTOR" description:"who makes the change (default: the login name)"`
+	Reason string        `short:"m" long:"reason" description:"why the change is made; required for changes"`
+	ID     string        `long:"change-id" description:"identifier of the change, to send it again safely (default: a random one)"`
+	Wait   time.Duration `long:"wait" optional:"yes" optional-value:"15s" description:"wait until a change is in force in every instance, for 15s or the given time"`
 }
 
 // program is what every command works with.
@@ -56,14 +61,14 @@
 		_, _ = parser.AddCommand(c.name, c.short, c.long, c.data)
 	}
 	keys := parser.Find("keys")
-	_, _ = keys.AddCommand("grant", "grant a key to a team", "Creates a key for a team and prints it once; only its hash is kept.", &grantCommand{program: p})
-	_, _ = keys.AddCommand("withdraw", "withdraw a key", "Withdraws a key; it stops working everywhere within 5 s.", &withdrawCommand{program: p})
+	_, _ = keys.AddCommand("grant", "grant a key to a team", grantHelp, &grantCommand{program: p})
+	_, _ = keys.AddCommand("withdraw", "withdraw a key", withdrawHelp, &withdrawCommand{program: p})
 	return parser
 }
 
 // author returns who makes a change and why.
 func (p *program) author() (api.Author, error) {
-	a := api.Author{Actor: p.options.Actor, Reason: p.options.Reason}
+	a := api.Author{Actor: p.options.Actor, Reason: p.options.Reason, ID: p.options.ID}
 	if a.Actor == "" {
 		if u, err := user.Current(); err == nil {
 			a.Actor = u.Username
@@ -97,12 +102,15 @@
 	}
 	fmt.Fprintln(os.Stderr, "mpctl: "+err.Error())
 	var usage *errUsage
+	var late *errNotInForce
 	var refused *api.ErrRefused
 	switch {
 	case errors.As(err, &parse), errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitOf(refused)
+	case errors.As(err, &late):
+		return exitNotInForce
 	default:
 		return exitFailed
 	}
--- a/mpctl/read.go
+++ b/mpctl/read.go
@@ -140,12 +140,18 @@
 		FailureDomain string `json:"failure-domain"`
 		State         string `json:"state"`
 		Revision      uint64 `json:"revision"`
+		Confirmed     bool   `json:"confirmed"`
+		Seat          bool   `json:"seat"`
 	} `json:"members"`
-	Revision       uint64 `json:"revision"`
-	InForce        int    `json:"in-force"`
-	Confirmed      bool   `json:"confirmed"`
-	StoreReachable bool   `json:"store-reachable"`
-	StoreDiverged  bool   `json:"store-diverged"`
+	Revision  uint64 `json:"revision"`
+	InForce   int    `json:"in-force"`
+	Confirmed bool   `json:"confirmed"`
+	InContact bool   `json:"in-contact"`
+	// Store is how the store relates to what is in force, such as current or unreachable.
+	Store         string `json:"store"`
+	PeersDiverged bool   `json:"peers-diverged"`
+	Epoch         uint64 `json:"epoch"`
+	OpenEpochs    int    `json:"open-epochs"`
 }
 
 // Execute shows the state of the fleet.
@@ -158,14 +164,29 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return err
 	}
-	return c.program.print(raw, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "revision %d, in force in %d of %d instances; store reachable: %t; diverged: %t; confirmed: %t\n",
-			s.Revision, s.InForce, len(s.Members), s.StoreReachable, s.StoreDiverged, s.Confirmed)
-		_, _ = fmt.Fprintln(w, "INSTANCE\tREGION\tFAILURE-DOMAIN\tSTATE\tREVISION")
-		for _, m := range s.Members {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", m.ID, m.Region, m.FailureDomain, m.State, m.Revision)
-		}
-	})
+	return c.program.print(raw, s.print)
+}
+
+func (s status) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "revision %d is in force in %d of %d instances", s.Revision, s.InForce, len(s.Members))
+	if lacking := s.lacking(s.Revision); len(lacking) > 0 {
+		_, _ = fmt.Fprintf(w, "; not in force in: %s", strings.Join(lacking, ", "))
+	}
+	_, _ = fmt.Fprintf(w, "\nstore: %s; most seats answer: %s; this instance is confirmed: %s; histories agree: %s\n",
+		s.Store, yesNo(s.InContact), yesNo(s.Confirmed), yesNo(!s.PeersDiverged))
+	_, _ = fmt.Fprintf(w, "epoch %d; earlier epochs that are not over: %d\n", s.Epoch, s.OpenEpochs)
+	_, _ = fmt.Fprintln(w, "INSTANCE\tREGION\tFAILURE-DOMAIN\tSTATE\tREVISION\tCONFIRMED\tSEAT")
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n",
+			m.ID, m.Region, m.FailureDomain, m.State, m.Revision, yesNo(m.Confirmed), yesNo(m.Seat))
+	}
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
 }
 
 // print writes a value as JSON or, through the function, as a table.
--- a/mpctl/write.go
+++ b/mpctl/write.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -19,62 +18,27 @@
 // keyBytes is the length of a granted key before encoding.
 const keyBytes = 24
 
-type applyCommand struct {
-	program *program
-	File    string `short:"f" long:"file" required:"yes" description:"YAML file of resources, documents separated by ---; - reads standard input"`
-}
-
-// Execute creates or updates the resources of a file.
-func (c *applyCommand) Execute([]string) error {
-	author, err := c.program.author()
+func (p *program) accepted(what string, a api.Accepted, err error) error {
 	if err != nil {
 		return err
 	}
-	content, err := readFile(c.File)
+	err = p.print(a, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s %s %s (version %d)\n", a.Resource.Kind, a.Resource.Name, what, a.Revision)
+	})
 	if err != nil {
 		return err
 	}
-	resources, err := api.DecodeResources(content)
-	if err != nil {
-		return err
+	if p.options.Wait > 0 {
+		return p.waitInForce(a.Revision)
 	}
-	for _, r := range resources {
-		if err := c.program.apply(author, r); err != nil {
-			return fmt.Errorf("%s %s: %w", r.Kind, r.Name, err)
-		}
+	if !a.Accepted && len(a.NotInForce) > 0 {
+		return &errNotInForce{revision: a.Revision, lacking: a.NotInForce}
 	}
 	return nil
 }
 
-// apply creates or updates one resource.
-func (p *program) apply(author api.Author, r resource.Resource) error {
-	have, exists, err := p.read(p.ctx, r.Kind, r.Name)
-	if err != nil {
-		return err
-	}
-	if !exists {
-		accepted, err := p.client().Create(p.ctx, author, r)
-		return p.accepted("created", accepted, err)
-	}
-	if r.Version == 0 {
-		r.Version = have.Version
-	}
-	if sameSpec(have, r) {
-		fmt.Printf("%s %s unchanged (version %d)\n", r.Kind, r.Name, have.Version)
-		return nil
-	}
-	accepted, err := p.client().Update(p.ctx, author, r)
-	return p.accepted("updated", accepted, err)
-}
-
-func (p *program) accepted(what string, a api.Accepted, err error) error {
-	if err != nil {
-		return err
-	}
-	return p.print(a, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "%s %s %s (version %d)\n", a.Resource.Kind, a.Resource.Name, what, a.Revision)
-	})
-}
+// named returns an author whose next change has an identifier of its own.
+func (p *program) named(a api.Author) api.Author { return a }
 
 type setCommand struct {
 	program   *program
@@ -95,12 +59,35 @@
 			if !ok {
 				return &errUsage{message: "write fields as FIELD=VALUE, such as rate=80"}
 			}
-			spec[name] = parseValue(value)
+			if err := setField(spec, strings.Split(name, "."), parseValue(value)); err != nil {
+				return err
+			}
 		}
 		return nil
 	})
 }
 
+// setField sets a field by its path; a nil value removes it.
+func setField(fields map[string]any, path []string, value any) error {
+	name := path[0]
+	if len(path) == 1 {
+		if value == nil {
+			delete(fields, name)
+			return nil
+		}
+		fields[name] = value
+		return nil
+	}
+	if fields[name] == nil {
+		fields[name] = map[string]any{}
+	}
+	nested, ok := fields[name].(map[string]any)
+	if !ok {
+		return &errUsage{message: name + " has no fields of its own"}
+	}
+	return setField(nested, path[1:], value)
+}
+
 type drainCommand struct {
 	program   *program
 	Arguments struct {
@@ -137,7 +124,7 @@
 	if version != 0 {
 		edited.Version = version
 	}
-	accepted, err := p.client().Update(p.ctx, author, edited)
+	accepted, err := p.client().Update(p.ctx, p.named(author), edited)
 	return p.accepted("updated", accepted, err)
 }
 
@@ -165,7 +152,7 @@
 		version = have.Version
 	}
 	doomed := resource.Resource{Kind: kind, Name: name, Version: version}
-	accepted, err := p.client().Delete(p.ctx, author, doomed)
+	accepted, err := p.client().Delete(p.ctx, p.named(author), doomed)
 	return p.accepted(what, accepted, err)
 }
 
@@ -190,10 +177,14 @@
 	r := resource.Resource{
 		Kind: resource.KindKey, Name: c.Name, Spec: resource.Key{Team: c.Arguments.Team, Hash: hex.EncodeToString(hash[:])},
 	}
-	if _, err := c.program.client().Create(c.program.ctx, author, r); err != nil {
+	accepted, err := c.program.client().Create(c.program.ctx, c.program.named(author), r)
+	if err != nil {
 		return err
 	}
 	fmt.Println(secret)
+	if c.program.options.Wait > 0 {
+		return c.program.waitInForce(accepted.Revision)
+	}
 	return nil
 }
 
@@ -224,9 +215,3 @@
 	}
 	return value
 }
-
-func sameSpec(a, b resource.Resource) bool {
-	x, _ := json.Marshal(a.Spec)
-	y, _ := json.Marshal(b.Spec)
-	return string(x) == string(y)
-}
