Give concurrent requests without a body no shared state

Cause: all such requests shared one strings.Reader, which the transport writes to when it copies the body: a data race. Change: the shared empty body has no state.

--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -167,7 +167,19 @@
 
 // emptyBody is a body without content that, unlike http.NoBody, the transport does not take for replayable. Together
 // with identity, the transport neither probes it nor announces it.
-var emptyBody = io.NopCloser(&strings.Reader{})
+var emptyBody io.ReadCloser = noContent{}
+
+// noContent has no state, since all requests share one value.
+type noContent struct{}
+
+// Read implements io.Reader.
+func (noContent) Read([]byte) (int, error) { return 0, io.EOF }
+
+// WriteTo implements io.WriterTo, for which the transport takes no buffer.
+func (noContent) WriteTo(io.Writer) (int64, error) { return 0, nil }
+
+// Close implements io.Closer.
+func (noContent) Close() error { return nil }
 
 // identity is the transfer encoding that changes nothing.
 var identity = []string{"identity"}
