--- a/core/instance/fleet.go
+++ b/core/instance/fleet.go
@@ -22,7 +22,7 @@
 	contactWait = 2 * time.Second
 	// contactCheck is the pause between checks for contact.
 	contactCheck = 20 * time.Millisecond
-	// leaveTimeout bounds each call by which a leaving instance changes the fleet record.
+	// leaveTimeout bounds each change of the fleet record by which an instance joins or leaves.
 	leaveTimeout = 2 * time.Second
 	// loanHold is for how long loans of a silent instance may be used.
 	loanHold = 2 * time.Second
@@ -57,7 +57,8 @@
 		ConfirmTimeout: s.Membership.ConfirmTimeout, Logger: i.logger,
 	})
 	f.registration = &membership.Registration{
-		Registrar: f.registrar, Exchanger: f.exchanger, Activate: i.activate, Hold: i.longestHold, Logger: i.logger,
+		Registrar: f.registrar, Exchanger: f.exchanger, Activate: i.activate, Hold: i.longestHold,
+		CatchUp: func(ctx context.Context) error { return i.reader.CatchUp(ctx) }, Logger: i.logger,
 	}
 	f.archive = configuration.NewArchive(i.store, i.state, func() bool {
 		return membership.Archiving(i.table, f.registrar.Fleet(), s.Instance.ID)
@@ -162,6 +163,15 @@
 	return longest + loanHold
 }
 
+// join enters this instance in the fleet record, if the store answers in time.
+func (i *Instance) join(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := i.fleet.registration.Join(bounded); err != nil {
+		i.logger.Warn("cannot register in the store yet", zap.Error(err))
+	}
+}
+
 // leave gives up this instance's seat.
 func (i *Instance) leave(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/core/services/configuration/reader.go
+++ b/core/services/configuration/reader.go
@@ -144,6 +144,9 @@
 	return min(2*retry, maxStoreRetry)
 }
 
+// CatchUp puts in force all that the store holds, without waiting for more.
+func (r *Reader) CatchUp(ctx context.Context) error { return r.read(ctx, 0) }
+
 // await returns when it is time to read: at once for an instance that keeps a watch.
 func (r *Reader) await(ctx context.Context) {
 	spread := rand.Float64() + 0.5
@@ -160,18 +163,22 @@
 	}
 }
 
-// step checks that the store holds what is in force, and reads on from there.
+// step reads on; an instance that keeps a watch waits for the next change.
 func (r *Reader) step(ctx context.Context) error {
+	if r.Watching != nil && !r.Watching() {
+		return r.read(ctx, 0)
+	}
+	return r.read(ctx, watchWait)
+}
+
+// read checks that the store holds what is in force, and applies what follows until nothing has come for a while.
+func (r *Reader) read(ctx context.Context, wait time.Duration) error {
 	for {
 		asked := time.Now()
 		v := r.state.View()
 		if err := r.check(ctx, v); err != nil {
 			return err
 		}
-		wait := watchWait
-		if r.Watching != nil && !r.Watching() {
-			wait = 0
-		}
 		entry, err := r.store.WaitFor(ctx, logKey(v.Revision+1), 0, wait)
 		var missing *platform.ErrKeyNotExist
 		if errors.As(err, &missing) {
--- a/core/services/membership/confirmation.go
+++ b/core/services/membership/confirmation.go
@@ -164,11 +164,13 @@
 	return e
 }
 
-// sets returns the seats of the record's epoch and of every open one.
+// sets returns the seats of the record's epoch and of every earlier one that is not closed.
 func (f Fleet) sets() [][]Seat {
 	sets := [][]Seat{f.Seats()}
 	for _, s := range f.Open {
-		sets = append(sets, s.Seats)
+		if !s.Closed {
+			sets = append(sets, s.Seats)
+		}
 	}
 	return sets
 }
--- a/core/services/membership/epochs.go
+++ b/core/services/membership/epochs.go
@@ -16,15 +16,17 @@
 	mu sync.Mutex
 	// adopted and settled are the latest epochs that processes have reported.
 	adopted, settled map[string]uint64
-	// most is when this instance learned that most seats of an epoch had adopted a later one.
-	most map[uint64]time.Time
+	// most is when this instance learned that most seats of an epoch had adopted a later one, and overSince when it saw
+	// that the epoch was over.
+	most, overSince map[uint64]time.Time
 }
 
 // NewEpochs returns a tracker for instances with the given confirm timeout.
 func NewEpochs(confirmTimeout time.Duration) *Epochs {
 	return &Epochs{
 		term:    confirmTimeout + activationMargin,
-		adopted: map[string]uint64{}, settled: map[string]uint64{}, most: map[uint64]time.Time{},
+		adopted: map[string]uint64{}, settled: map[string]uint64{},
+		most: map[uint64]time.Time{}, overSince: map[uint64]time.Time{},
 	}
 }
 
@@ -42,13 +44,34 @@
 	defer e.mu.Unlock()
 	over, settled = true, true
 	for _, set := range f.Open {
-		over = e.over(set) && over
+		over = !e.since(set).IsZero() && over
 		settled = e.allSettled(set) && settled
 	}
 	e.forget(f)
 	return over, over && settled
 }
 
+// OverSince returns when this instance saw that the epoch of a set was over; zero if it is not.
+func (e *Epochs) OverSince(set SeatSet) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.since(set)
+}
+
+// Settled reports whether every seat of a set has settled for a later epoch.
+func (e *Epochs) Settled(set SeatSet) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.allSettled(set)
+}
+
+func (e *Epochs) since(set SeatSet) time.Time {
+	if e.overSince[set.Epoch].IsZero() && (set.Closed || e.over(set)) {
+		e.overSince[set.Epoch] = time.Now()
+	}
+	return e.overSince[set.Epoch]
+}
+
 func (e *Epochs) over(set SeatSet) bool {
 	adopted := 0
 	for _, s := range set.Seats {
@@ -83,6 +106,7 @@
 		return
 	}
 	clear(e.most)
+	clear(e.overSince)
 	current := map[string]bool{}
 	for _, s := range f.Seats() {
 		current[s.Process()] = true
--- a/core/services/membership/fleet.go
+++ b/core/services/membership/fleet.go
@@ -61,6 +61,9 @@
 	Epoch uint64 `json:"epoch"`
 	// Seats is sorted by ID.
 	Seats []Seat `json:"seats"`
+	// Closed is true once no process can be confirmed in the epoch, and the record's revision covers all that was accepted
+	// in it. Then the set only tells whose use of portions may go on.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // DecodeFleet decodes a stored record.
@@ -136,11 +139,23 @@
 	return f.reseated(next).withEnded(false, func(s Seat) bool { return named(s.ID) })
 }
 
-// WithClosed returns a record without the open sets of epochs before the given one; the revision covers all that was
-// accepted in them.
-func (f Fleet) WithClosed(epoch, revision uint64) Fleet {
-	f.Open = slices.DeleteFunc(slices.Clone(f.Open), func(s SeatSet) bool { return s.Epoch < epoch })
-	f.Revision = max(f.Revision, revision)
+// WithClosed returns a record in which the open sets that the function selects are closed; the revision covers all that
+// was accepted in them.
+func (f Fleet) WithClosed(revision uint64, over func(SeatSet) bool) Fleet {
+	open := slices.Clone(f.Open)
+	for n := range open {
+		if !open[n].Closed && over(open[n]) {
+			open[n].Closed = true
+			f.Revision = max(f.Revision, revision)
+		}
+	}
+	f.Open = open
+	return f
+}
+
+// WithoutClosed returns a record that lacks the closed sets that the function selects.
+func (f Fleet) WithoutClosed(done func(SeatSet) bool) Fleet {
+	f.Open = slices.DeleteFunc(slices.Clone(f.Open), func(s SeatSet) bool { return s.Closed && done(s) })
 	return f
 }
 
@@ -152,7 +167,8 @@
 			seats[n].Settled = seats[n].Settled || (settled && ended(seats[n]))
 			seats[n].Gone = seats[n].Gone || ended(seats[n])
 		}
-		open = append(open, SeatSet{Epoch: set.Epoch, Seats: seats})
+		set.Seats = seats
+		open = append(open, set)
 	}
 	f.Open = open
 	return f
--- a/core/services/membership/fleet_test.go
+++ b/core/services/membership/fleet_test.go
@@ -97,8 +97,13 @@
 	if len(byAddress.Members) != 1 || !byAddress.Open[0].Seats[0].Gone {
 		t.Errorf("replaced under the same address: %+v", byAddress)
 	}
-	if closed := byID.WithClosed(2, 5); len(closed.Open) != 0 || closed.Revision != 5 {
-		t.Errorf("a closed set stays open: %+v", closed)
+	all := func(membership.SeatSet) bool { return true }
+	if kept := byID.WithoutClosed(all); len(kept.Open) != 1 {
+		t.Errorf("a set that is not closed is gone: %+v", kept)
+	}
+	closed := byID.WithClosed(5, all)
+	if gone := closed.WithoutClosed(all); closed.Revision != 5 || len(gone.Open) != 0 {
+		t.Errorf("a closed set stays: %+v", gone)
 	}
 }
 
--- a/core/services/membership/network_test.go
+++ b/core/services/membership/network_test.go
@@ -102,7 +102,8 @@
 	})
 	d.tend = &membership.Registration{
 		Registrar: d.registrar, Exchanger: d.exchanger, Activate: func(epoch uint64, _ bool) { d.active.Store(epoch) },
-		Hold: func() time.Duration { return 5 * time.Second }, Logger: zap.NewNop(),
+		Hold:    func() time.Duration { return 5 * time.Second },
+		CatchUp: func(ctx context.Context) error { return d.reader.CatchUp(ctx) }, Logger: zap.NewNop(),
 	}
 	d.reader = configuration.NewReader(store, d.state, zap.NewNop())
 	d.reader.Watching = func() bool { return membership.Watching(table, d.registrar.Fleet(), id) }
--- a/core/services/membership/registration.go
+++ b/core/services/membership/registration.go
@@ -25,13 +25,12 @@
 	// Activate is told the epoch whose earlier ones are over, and whether their seats have settled besides.
 	Activate func(epoch uint64, settled bool)
 	// Hold returns for how long after an epoch a silent seat's loans and requests may go on.
-	Hold   func() time.Duration
-	Logger *zap.Logger
-	// overSince is when this instance first saw that all epochs before seen are over.
-	overSince time.Time
-	seen      uint64
-	// settled is true if the seats of the epochs before seen have settled.
-	settled bool
+	Hold func() time.Duration
+	// CatchUp puts in force all that the store holds.
+	CatchUp func(ctx context.Context) error
+	Logger  *zap.Logger
+	// joined is true once this process has been in the record.
+	joined bool
 }
 
 // Run tends the record until the context ends.
@@ -50,6 +49,20 @@
 	return nil
 }
 
+// Join enters this instance in the record as ready, before it says so itself.
+func (r *Registration) Join(ctx context.Context) error {
+	self := r.Exchanger.Self().WithState(StateReady).registered()
+	err := r.Registrar.Change(ctx, func(f Fleet) (Fleet, bool) {
+		have, ok := f.Member(self.ID)
+		if ok && have.Incarnation >= self.Incarnation {
+			return f, false
+		}
+		return f.With(self), true
+	})
+	r.follow()
+	return err
+}
+
 // wait waits for a while and keeps the epochs up to date meanwhile.
 func (r *Registration) wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -76,19 +89,14 @@
 	r.Exchanger.Table.Follow(f)
 	r.Exchanger.Confirmation.Forget(f)
 	self := r.Exchanger.Self()
+	if m, ok := f.Member(self.ID); ok && m.Incarnation == self.Incarnation {
+		r.joined = true
+	}
 	r.Exchanger.Epochs.Report(self.Process(), f.Epoch, r.Exchanger.Settled())
 	over, settled := r.Exchanger.Epochs.Over(f)
-	if f.Epoch != r.seen || !over {
-		r.seen, r.overSince = f.Epoch, time.Time{}
-	}
-	r.settled = settled
-	if !over || f.Epoch == 0 {
-		return
-	}
-	if r.overSince.IsZero() {
-		r.overSince = time.Now()
+	if over && f.Epoch > 0 {
+		r.Activate(f.Epoch, settled)
 	}
-	r.Activate(f.Epoch, settled)
 }
 
 // tend makes the changes that the record needs from this instance.
@@ -96,16 +104,42 @@
 	if r.needless(r.Registrar.Fleet()) && !r.Registrar.Stale() {
 		return nil
 	}
+	over := r.over(r.Registrar.Fleet())
+	if len(over) > 0 {
+		// The revision of the record has to cover all that was accepted in the epochs that are over.
+		if err := r.CatchUp(ctx); err != nil {
+			return err
+		}
+	}
+	revision := r.Exchanger.State.View().Revision
 	return r.Registrar.Change(ctx, func(f Fleet) (Fleet, bool) {
 		if r.needless(f) {
 			return f, false
 		}
-		return r.tended(f), true
+		closed := f.WithClosed(revision, func(s SeatSet) bool { return slices.Contains(over, s.Epoch) })
+		return r.tended(closed.WithoutClosed(r.done)), true
 	})
 }
 
 func (r *Registration) needless(f Fleet) bool {
-	return r.listed(f) && len(r.dead(f)) == 0 && !r.closable(f)
+	return r.listed(f) && len(r.dead(f)) == 0 && len(r.over(f)) == 0 && !slices.ContainsFunc(f.Open, r.done)
+}
+
+// over returns the epochs that are over and not closed yet. Only seats close epochs.
+func (r *Registration) over(f Fleet) []uint64 {
+	var epochs []uint64
+	for _, set := range f.Open {
+		if !set.Closed && r.seated(f) && !r.Exchanger.Epochs.OverSince(set).IsZero() {
+			epochs = append(epochs, set.Epoch)
+		}
+	}
+	return epochs
+}
+
+// done reports whether nothing of the portions of a set can be in use any more.
+func (r *Registration) done(set SeatSet) bool {
+	since := r.Exchanger.Epochs.OverSince(set)
+	return set.Closed && !since.IsZero() && (r.Exchanger.Epochs.Settled(set) || time.Since(since) > r.Hold())
 }
 
 // tended returns the record with all that this instance has to change.
@@ -114,9 +148,6 @@
 		r.Logger.Warn("removing a silent member", zap.String(logging.FieldPeer, m.ID))
 		f = f.Without(m.ID, m.Incarnation)
 	}
-	if r.closable(f) {
-		f = f.WithClosed(f.Epoch, r.Exchanger.State.View().Revision)
-	}
 	if !r.listed(f) {
 		f = f.With(r.Exchanger.Self().registered())
 	}
@@ -124,7 +155,8 @@
 }
 
 // listed reports whether the record has this instance as it should be. An instance that is starting does not register,
-// one that is leaving changes its entry by itself, and one that a later process has replaced stays out.
+// one that is leaving changes its entry by itself, and one that a later process has replaced stays out. So does one that
+// was removed, until peers answer it.
 func (r *Registration) listed(f Fleet) bool {
 	self := r.Exchanger.Self()
 	if self.State != StateReady {
@@ -132,7 +164,7 @@
 	}
 	have, ok := f.Member(self.ID)
 	if !ok {
-		return slices.ContainsFunc(f.Members, func(m Registered) bool {
+		return r.joined && !r.Exchanger.InContact() || slices.ContainsFunc(f.Members, func(m Registered) bool {
 			return m.Peer == self.Peer && m.Incarnation > self.Incarnation
 		})
 	}
@@ -142,24 +174,17 @@
 }
 
 func (r *Registration) dead(f Fleet) []Registered {
-	self := r.Exchanger.Self()
-	have, ok := f.Member(self.ID)
-	if !ok || !have.Seat || have.Incarnation != self.Incarnation {
+	if !r.seated(f) {
 		return nil
 	}
-	return r.Exchanger.Silence.Dead(f, self.ID, r.Exchanger.Table)
+	return r.Exchanger.Silence.Dead(f, r.Exchanger.Self().ID, r.Exchanger.Table)
 }
 
-// closable reports whether the earlier epochs can leave the record: they are over, nothing of their portions can be in
-// use, and this instance has since learned from the store of all that was accepted in them.
-func (r *Registration) closable(f Fleet) bool {
-	if len(f.Open) == 0 || f.Epoch != r.seen || r.overSince.IsZero() {
-		return false
-	}
-	if !r.settled && time.Since(r.overSince) < r.Hold() {
-		return false
-	}
-	return r.Exchanger.Confirmation.StoreAnswered().After(r.overSince)
+// seated reports whether this instance holds a seat.
+func (r *Registration) seated(f Fleet) bool {
+	self := r.Exchanger.Self()
+	have, ok := f.Member(self.ID)
+	return ok && have.Seat && have.Incarnation == self.Incarnation
 }
 
 // Leave gives up this instance's seat but keeps its entry, as leaving.
