Admit requests by fleet-wide limits, queue them fairly, retry in one place

Cause: the thin path chose the locally least loaded target, knew no rates, capacities, shifts or links, refused at once, and retried without a budget.

Change: an attempt holds a team token, a slot, a unit of region and failure domain, and shift and link tokens when it leaves the region, all or nothing. Shifts and cold targets grow along ramps. A bounded queue for each service serves teams by start-time fair queueing within their deadlines. Idempotent requests retry within a budget; idempotency keys are claimed from a majority of three owners; a request that made a target die needs a grant for its one more attempt. A withdrawn key ends its open requests. The key is stripped from cookies, basic credentials, trailers and encodings.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -20,9 +20,7 @@
 	"medlarpond.dev/core/routers/caller"
 	"medlarpond.dev/core/routers/operator"
 	"medlarpond.dev/core/services/configuration"
-	"medlarpond.dev/core/services/dispatch"
 	"medlarpond.dev/core/services/membership"
-	"medlarpond.dev/core/services/steering"
 	"medlarpond.dev/core/services/target"
 	"medlarpond.dev/core/settings"
 )
@@ -44,6 +42,7 @@
 	table    *membership.Table
 	fleet    fleet
 	sender   *target.Sender
+	requests requests
 	meter    *meter.Meter
 	peers    *peer.Server
 	caller   *http.Server
@@ -73,9 +72,8 @@
 	i.lifecycle.Store(membership.StateStarting)
 	i.fleet = i.newFleet()
 	i.reader = i.newReader()
-	place := steering.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
-	dispatcher := dispatch.New(state, steering.New(place), i.sender, i.confirmed, logger)
-	i.caller = i.server(i.track(caller.New(dispatcher, i.locate, i.meter, logger)))
+	i.requests = i.newRequests()
+	i.caller = i.server(i.track(caller.New(i.requests.dispatcher, i.locate, i.meter, logger)))
 	writer := configuration.NewWriter(store, state)
 	writer.Contact = i.fleet.exchanger.InContact
 	router := operator.New(state, writer, i.status, i.meter, logger)
@@ -101,6 +99,9 @@
 	tree.Start(duty.Duty{Name: "heartbeats", Run: i.fleet.exchanger.Run})
 	tree.Start(duty.Duty{Name: "archive", Run: i.fleet.archive.Run})
 	i.meetPeers(ctx)
+	tree.Start(duty.Duty{Name: "steering", Run: i.steer})
+	tree.Start(duty.Duty{Name: "open-requests", Run: i.requests.dispatcher.Run})
+	tree.Start(duty.Duty{Name: "idempotency-keys", Run: i.requests.claimer.Run})
 	tree.Start(duty.Duty{Name: "caller-server", Run: serve(i.caller, l.caller)})
 	i.join(ctx)
 	tree.Start(duty.Duty{Name: "registration", Run: i.fleet.registration.Run})
@@ -131,6 +132,7 @@
 	_ = l.peer.Close()
 	i.peers.Close()
 	i.fleet.pool.Close()
+	i.requests.pool.Close()
 	i.sender.Close()
 	i.logger.Info("stopped")
 }
--- a/core/routers/caller/caller.go
+++ b/core/routers/caller/caller.go
@@ -23,6 +23,10 @@
 const (
 	// copyBufferBytes is the size of the buffers through which bodies stream.
 	copyBufferBytes = 32 << 10
+	// writeMargin is how long after its deadline an answer may still be on its way to a slow caller.
+	writeMargin = time.Second
+	// discardTimeout bounds the wait for the rest of the body of a refused request.
+	discardTimeout = time.Second
 	// openTeam is the team label of requests on routes that are open to all.
 	openTeam = "open"
 	// ownPrefix starts the paths that the instance answers itself.
@@ -111,15 +115,23 @@
 
 func (t *Router) request(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	result, refused := t.dispatcher.Dispatch(r)
+	controller := http.NewResponseController(w)
+	result, labels, refused := t.dispatcher.Dispatch(r, func(limit time.Time) { _ = controller.SetReadDeadline(limit) })
+	defer func() { t.meter.Observe(teamLabel(labels.Team), classLabel(labels.Service), time.Since(started)) }()
 	if refused != nil {
+		_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
+		if refused.Reason == refusal.BodyTooLarge {
+			w.Header().Set("Connection", "close")
+		}
 		t.refuse(w, refused)
-		t.meter.Observe(openTeam, noClass, time.Since(started))
 		return
 	}
-	defer result.Release()
-	defer func() { t.meter.Observe(teamLabel(result.Team), result.Service, time.Since(started)) }()
+	complete := false
+	defer func() { result.Release(complete) }()
+	_ = controller.SetWriteDeadline(result.Deadline.Add(writeMargin))
 	t.stream(w, result.Response)
+	complete = true
+	_ = controller.SetWriteDeadline(time.Time{})
 }
 
 func (t *Router) refuse(w http.ResponseWriter, refused *refusal.Refusal) {
@@ -173,6 +185,13 @@
 	}
 }
 
+func classLabel(service string) string {
+	if service == "" {
+		return noClass
+	}
+	return service
+}
+
 func teamLabel(team string) string {
 	if team == "" {
 		return openTeam
--- a/core/services/dispatch/dispatch.go
+++ b/core/services/dispatch/dispatch.go
@@ -6,103 +6,170 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"medlarpond.dev/core/models/resource"
-	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/configuration"
+	"medlarpond.dev/core/services/crash"
+	"medlarpond.dev/core/services/idempotency"
 	"medlarpond.dev/core/services/steering"
 	"medlarpond.dev/core/services/target"
 )
 
-const (
-	// maxAttempts bounds the attempts of one request, the first included.
-	maxAttempts = 3
-	// minAttemptTime is the least time in which an attempt is worth starting.
-	minAttemptTime = 5 * time.Millisecond
-	// overloadRetryAfter is what a caller is told to wait when no slot is free.
-	overloadRetryAfter = 1 * time.Second
-)
+// bodyMargin is how long after its deadline a request's body may still be read.
+const bodyMargin = time.Second
 
 // Dispatcher decides what becomes of each request.
 type Dispatcher struct {
 	state    *configuration.State
 	steering *steering.Steering
+	health   *steering.Health
 	sender   *target.Sender
+	claimer  *idempotency.Claimer
+	guard    *crash.Guard
 	logger   *zap.Logger
 	// confirmed reports whether keyed routes may be served.
 	confirmed func() bool
+	// instances returns the number of instances that share the targets' connections.
+	instances func() int
+	budgets   *budgets
+	open      *openCalls
+}
+
+// Parts are what a dispatcher works with.
+type Parts struct {
+	State    *configuration.State
+	Steering *steering.Steering
+	Health   *steering.Health
+	Sender   *target.Sender
+	Claimer  *idempotency.Claimer
+	Guard    *crash.Guard
+	Logger   *zap.Logger
+	// Confirmed reports whether keyed routes may be served.
+	Confirmed func() bool
+	// Instances returns the number of instances that share the targets' connections.
+	Instances func() int
+}
+
+// Labels say for whom a request counts; a field is empty if the request was refused before it was known.
+type Labels struct {
+	Team    string
+	Service string
 }
 
 // Result is the answer of a target, to be streamed to the caller and then released.
 type Result struct {
 	Response *http.Response
-	Team     string
-	Service  string
 	Target   string
-	release  func()
+	// Deadline is when the answer must be at its end.
+	Deadline time.Time
+	release  func(complete bool)
 }
 
-// Release gives back the slot and ends the attempt.
-func (r *Result) Release() { r.release() }
+// Release ends the attempt; complete tells whether the answer was read to its end.
+func (r *Result) Release(complete bool) { r.release(complete) }
 
 // New returns a dispatcher.
-func New(
-	state *configuration.State, steering *steering.Steering, sender *target.Sender, confirmed func() bool, logger *zap.Logger,
-) *Dispatcher {
-	return &Dispatcher{state: state, steering: steering, sender: sender, confirmed: confirmed, logger: logger}
+func New(p Parts) *Dispatcher {
+	return &Dispatcher{
+		state: p.State, steering: p.Steering, health: p.Health, sender: p.Sender, claimer: p.Claimer, guard: p.Guard,
+		logger: p.Logger, confirmed: p.Confirmed, instances: p.Instances,
+		budgets: newBudgets(), open: newOpenCalls(),
+	}
 }
 
 // call is one request on its way through the decisions.
 type call struct {
 	request  *http.Request
-	snapshot resource.Snapshot
+	view     *configuration.View
 	route    resource.NamedRoute
 	service  resource.Service
+	deadline time.Time
 	// team is empty on a route that is open to all.
 	team string
 	// key is the key that came with the request; it is never logged.
 	key        string
+	keyHash    resource.KeyHash
 	idempotent bool
+	body       body
+	// running is true while a target may run the request.
+	running atomic.Bool
+	// cachedFingerprint is valid if hasFingerprint is true.
+	cachedFingerprint crash.Fingerprint
+	hasFingerprint    bool
 }
 
-// Dispatch runs the request at a target or refuses it. The caller of Dispatch streams the result and releases it.
-func (d *Dispatcher) Dispatch(r *http.Request) (*Result, *refusal.Refusal) {
+// Dispatch runs the request at a target or refuses it. The caller of Dispatch streams the result and releases it; readBy
+// bounds the reading of the request's body.
+func (d *Dispatcher) Dispatch(r *http.Request, readBy func(time.Time)) (*Result, Labels, *refusal.Refusal) {
 	c, refused := d.authorize(r)
 	if refused != nil {
+		return nil, Labels{}, refused
+	}
+	readBy(c.deadline.Add(bodyMargin))
+	labels := Labels{Team: c.team, Service: c.route.Service}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, withdraw := context.WithCancelCause(ctx)
+	forget := d.open.add(c, withdraw)
+	end := func() {
+		forget()
+		withdraw(nil)
+		cancel()
+	}
+	result, refused := d.run(ctx, c)
+	if refused != nil {
+		if refused.NotRun && withdrawn(ctx) {
+			refused = unknownKey()
+		}
+		end()
+		return nil, labels, refused
+	}
+	inner := result.release
+	result.release = func(complete bool) {
+		end()
+		inner(complete)
+	}
+	return result, labels, nil
+}
+
+// run reads what of the body is needed, claims the idempotency key and makes the attempts.
+func (d *Dispatcher) run(ctx context.Context, c *call) (*Result, *refusal.Refusal) {
+	if refused := c.readBody(); refused != nil {
 		return nil, refused
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.timeout())
-	result, refused := d.attempts(ctx, c)
+	claim, refused := d.claim(ctx, c)
 	if refused != nil {
-		cancel()
 		return nil, refused
 	}
-	inner := result.release
-	result.release = func() {
-		cancel()
-		inner()
+	result, refused := d.attempts(ctx, c)
+	if refused != nil && refused.NotRun && claim != nil {
+		d.withdrawClaim(ctx, *claim)
 	}
-	return result, nil
+	return result, refused
 }
 
 // authorize finds the route and checks the key.
 func (d *Dispatcher) authorize(r *http.Request) (*call, *refusal.Refusal) {
-	snapshot := d.state.View().Snapshot
-	route, ok := snapshot.RouteOf(r.URL.Path)
+	view := d.state.View()
+	route, ok := view.Snapshot.RouteOf(r.URL.Path)
 	if !ok {
 		return nil, refusal.New(http.StatusNotFound, refusal.NoRoute, "no route has this path")
 	}
-	service, ok := resource.Spec[resource.Service](snapshot, resource.KindService, route.Service)
+	service, ok := resource.Spec[resource.Service](view.Snapshot, resource.KindService, route.Service)
 	if !ok {
 		return nil, refusal.New(http.StatusNotFound, refusal.NoRoute, "the service of this route does not exist")
 	}
-	c := &call{request: r, snapshot: snapshot, route: route, service: service, key: presentedKey(r)}
+	c := &call{request: r, view: view, route: route, service: service, key: presentedKey(r)}
 	c.idempotent = isIdempotent(service, r.Method)
-	if refused := c.checkBody(); refused != nil {
+	c.deadline = time.Now().Add(c.timeout())
+	if c.key != "" {
+		c.keyHash = resource.HashKey(c.key)
+	}
+	if refused := c.checkForm(); refused != nil {
 		return nil, refused
 	}
 	if route.Open {
@@ -119,9 +186,9 @@
 	if c.key == "" {
 		return refusal.New(http.StatusUnauthorized, refusal.NoKey, "this route needs a key")
 	}
-	team, ok := c.snapshot.TeamOf(resource.HashKey(c.key))
+	team, ok := c.view.Snapshot.TeamOf(c.keyHash)
 	if !ok {
-		return refusal.New(http.StatusUnauthorized, refusal.UnknownKey, "this key does not exist or was withdrawn")
+		return unknownKey()
 	}
 	if len(c.route.Teams) > 0 && !slices.Contains(c.route.Teams, team) {
 		return refusal.New(http.StatusForbidden, refusal.TeamNotPermitted, "this route is not open to the key's team")
@@ -130,14 +197,17 @@
 	return nil
 }
 
-func (c *call) checkBody() *refusal.Refusal {
+// checkForm refuses what no target may receive.
+func (c *call) checkForm() *refusal.Refusal {
 	if c.request.ContentLength > c.service.MaxBodyBytes {
-		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
-			"the body is over the limit of "+strconv.FormatInt(c.service.MaxBodyBytes, 10)+" bytes")
+		return c.bodyTooLarge()
 	}
-	if c.request.Header.Get("Upgrade") != "" {
+	if c.request.Header.Get("Upgrade") != "" || c.request.Method == http.MethodConnect {
 		return refusal.New(http.StatusNotImplemented, refusal.UpgradeRefused, "connection upgrades are not supported")
 	}
+	if c.containsKey(c.request.URL.EscapedPath()) {
+		return refusal.New(http.StatusBadRequest, refusal.Malformed, "the path contains the key")
+	}
 	return nil
 }
 
@@ -145,70 +215,16 @@
 func (c *call) timeout() time.Duration {
 	bound := time.Duration(c.service.RequestTimeout)
 	seconds, err := strconv.ParseFloat(c.request.Header.Get(target.TimeoutHeader), 64)
-	if err != nil || seconds <= 0 {
+	if err != nil || !(seconds > 0 && seconds < bound.Seconds()) {
 		return bound
 	}
-	return min(bound, time.Duration(seconds*float64(time.Second)))
-}
-
-// attempts tries targets until one answers or no further attempt is permitted.
-func (d *Dispatcher) attempts(ctx context.Context, c *call) (*Result, *refusal.Refusal) {
-	excluded := map[string]bool{}
-	var last *refusal.Refusal
-	for range maxAttempts {
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minAttemptTime {
-			return nil, orElse(last, refusal.New(http.StatusGatewayTimeout, refusal.DeadlineTooShort, "too little time is left"))
-		}
-		choice, ok := d.steering.Choose(c.snapshot, c.route.Service, excluded)
-		if !ok {
-			return nil, orElse(last, refusal.New(http.StatusServiceUnavailable, refusal.Overloaded,
-				"no target has a free slot").WithRetryAfter(overloadRetryAfter))
-		}
-		response, err := d.sender.Send(ctx, c.attempt(choice.Target.Address)) //nolint:bodyclose // the router streams and closes it
-		if err == nil {
-			return &Result{
-				Response: response, Team: c.team, Service: c.route.Service, Target: choice.Target.Name, release: choice.Release,
-			}, nil
-		}
-		choice.Release()
-		excluded[choice.Target.Name] = true
-		d.logger.Info("attempt failed", zap.String(logging.FieldService, c.route.Service),
-			zap.String(logging.FieldTarget, choice.Target.Name), zap.Error(err))
-		last = failure(ctx, err)
-		if !c.mayRetry(err) {
-			return nil, last
-		}
-	}
-	return nil, last
+	return time.Duration(seconds * float64(time.Second))
 }
 
-func (c *call) mayRetry(err error) bool {
-	if target.IsNotSent(err) {
-		return true
-	}
-	return c.idempotent && !hasBody(c.request)
-}
-
-func failure(ctx context.Context, err error) *refusal.Refusal {
-	switch {
-	case target.IsNotSent(err):
-		return refusal.New(http.StatusBadGateway, refusal.TargetFailed, "no target could be reached").WithRetryAfter(time.Second)
-	case ctx.Err() != nil:
-		return refusal.NewRan(http.StatusGatewayTimeout, refusal.OutcomeUnknown, "the time was over before the target answered")
-	default:
-		return refusal.NewRan(http.StatusBadGateway, refusal.OutcomeUnknown, "the target did not answer; it may have run the request")
-	}
+func unknownKey() *refusal.Refusal {
+	return refusal.New(http.StatusUnauthorized, refusal.UnknownKey, "this key does not exist or was withdrawn")
 }
 
-func orElse(first, second *refusal.Refusal) *refusal.Refusal {
-	if first != nil {
-		return first
-	}
-	return second
-}
-
-func hasBody(r *http.Request) bool { return r.ContentLength != 0 }
-
 func isIdempotent(s resource.Service, method string) bool {
 	if len(s.IdempotentMethods) > 0 {
 		return slices.Contains(s.IdempotentMethods, method)
--- a/core/services/steering/steering.go
+++ b/core/services/steering/steering.go
@@ -1,102 +1,123 @@
-// Package steering chooses the target of each attempt and accounts for the slots that attempts hold.
+// Package steering admits requests: it accounts for what each attempt uses, chooses its target, and lets requests wait
+// for a short time when nothing is free.
 package steering
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/services/share"
 )
 
+// rampInterval is the pause between two steps of a growing limit.
+const rampInterval = 100 * time.Millisecond
+
 // Place is where an instance stands.
 type Place struct {
 	Region        string
 	FailureDomain string
 }
 
-// Steering chooses targets for one instance.
+// Configuration is what the operators have written, at one revision.
+type Configuration struct {
+	Snapshot resource.Snapshot
+	Revision uint64
+}
+
+// Steering admits the requests of one instance.
 type Steering struct {
-	place Place
+	place  Place
+	ledger *share.Ledger
+	// want asks for units of any one of the accounts, or tokens, because requests wait for them.
+	want   func(anyOf []share.Account, n int)
+	health *Health
+	plan   atomic.Pointer[plan]
+	// waiting counts the requests in all queues.
+	waiting atomic.Int64
+	// quiet is positive while notifications are of no use to waiting requests.
+	quiet   atomic.Int64
+	scratch sync.Pool
 
 	mu sync.Mutex
-	// running counts the attempts that hold a slot, by target; never above the target's slots.
-	running map[string]int
-}
-
-// Choice is a target with one of its slots, held until Release.
-type Choice struct {
-	Target   resource.NamedTarget
-	steering *Steering
-	once     *sync.Once
+	// queues is keyed by service.
+	queues map[string]*queue
+	ramps  ramps
+	// growing is true while a limit has not reached its configured value.
+	growing bool
 }
 
 // New returns a steering for an instance at the given place.
-func New(place Place) *Steering {
-	return &Steering{place: place, running: map[string]int{}}
+func New(place Place, ledger *share.Ledger, want func(anyOf []share.Account, n int), health *Health) *Steering {
+	s := &Steering{place: place, ledger: ledger, want: want, health: health, queues: map[string]*queue{}}
+	s.scratch.New = func() any { return new([]float64) }
+	s.plan.Store(&plan{})
+	return s
 }
 
-// Choose takes a slot of the nearest and least loaded target that is not excluded; it reports false if there is none.
-func (s *Steering) Choose(snapshot resource.Snapshot, service string, excluded map[string]bool) (Choice, bool) {
-	spec, ok := resource.Spec[resource.Service](snapshot, resource.KindService, service)
-	if !ok {
-		return Choice{}, false
+// Run keeps the limits as the configuration has them until the context ends. Changed returns a channel that is closed
+// at the next change of the configuration.
+func (s *Steering) Run(ctx context.Context, current func() Configuration, changed func() <-chan struct{}) error {
+	ticker := time.NewTicker(rampInterval)
+	defer ticker.Stop()
+	for {
+		next := changed()
+		s.Configure(current())
+		select {
+		case <-next:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
 	}
+}
+
+// Configure puts a configuration in force; an older one than the present is ignored.
+func (s *Steering) Configure(c Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best resource.NamedTarget
-	bestCost := -1.0
-	for _, t := range snapshot.TargetsOf(service) {
-		if excluded[t.Name] || !permitted(spec, t) || s.running[t.Name] >= t.Slots {
-			continue
-		}
-		cost := s.distance(t) + float64(s.running[t.Name])/float64(t.Slots)
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = t, cost
-		}
+	present := s.plan.Load()
+	isNew := present.services == nil || c.Revision > present.revision
+	if !isNew && !s.growing {
+		return
 	}
-	if bestCost < 0 {
-		return Choice{}, false
+	now := time.Now()
+	if isNew {
+		s.ramps.learn(c.Snapshot, now)
+	}
+	limits := Limits(c.Snapshot)
+	s.growing = s.ramps.apply(limits, c.Snapshot, now)
+	s.ledger.SetLimits(limits)
+	if isNew {
+		s.plan.Store(newPlan(c.Snapshot, c.Revision, s.place))
 	}
-	s.running[best.Name]++
-	return Choice{Target: best, steering: s, once: &sync.Once{}}, true
-}
-
-// Release gives the slot back; further calls do nothing.
-func (c Choice) Release() {
-	c.once.Do(func() {
-		c.steering.mu.Lock()
-		defer c.steering.mu.Unlock()
-		c.steering.running[c.Target.Name]--
-	})
 }
 
-func permitted(s resource.Service, t resource.NamedTarget) bool {
-	if t.Leaving {
-		return false
+// Notify lets waiting requests try again; the ledger calls it when something has become free.
+func (s *Steering) Notify() {
+	if s.waiting.Load() == 0 || s.quiet.Load() > 0 {
+		return
 	}
-	if len(s.Regions) == 0 {
-		return true
+	s.mu.Lock()
+	queues := make([]*queue, 0, len(s.queues))
+	for _, q := range s.queues {
+		queues = append(queues, q)
 	}
-	for _, r := range s.Regions {
-		if r == t.Region {
-			return true
-		}
+	s.mu.Unlock()
+	for _, q := range queues {
+		q.serve()
 	}
-	return false
 }
 
-// The costs of distance, in units of a fully loaded target.
-const (
-	costOtherFailureDomain = 0.25
-	costOtherRegion        = 2.0
-)
-
-func (s *Steering) distance(t resource.NamedTarget) float64 {
-	switch {
-	case t.FailureDomain == s.place.FailureDomain:
-		return 0
-	case t.Region == s.place.Region:
-		return costOtherFailureDomain
-	default:
-		return costOtherRegion
+func (s *Steering) queueOf(service string) *queue {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q, ok := s.queues[service]
+	if !ok {
+		q = newQueue(s, service)
+		s.queues[service] = q
 	}
+	return q
 }
--- /dev/null
+++ b/core/services/steering/steering_test.go
@@ -0,0 +1,371 @@
+package steering_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/modules/refusal"
+	"medlarpond.dev/core/services/share"
+	"medlarpond.dev/core/services/steering"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var home = steering.Place{Region: "r1", FailureDomain: "r1-a"}
+
+func named(kind resource.Kind, name string, spec any) resource.Resource {
+	return resource.Resource{Kind: kind, Name: name, Spec: spec}
+}
+
+func seconds(s float64) resource.Duration { return resource.Duration(s * float64(time.Second)) }
+
+// basic is a service with two targets in the home region and one in another.
+func basic() []resource.Resource {
+	return []resource.Resource{
+		named(resource.KindRegion, "r1", resource.Region{Capacity: 5}),
+		named(resource.KindRegion, "r2", resource.Region{Capacity: 5}),
+		named(resource.KindFailureDomain, "r1-a", resource.FailureDomain{Region: "r1", Capacity: 2}),
+		named(resource.KindFailureDomain, "r1-b", resource.FailureDomain{Region: "r1"}),
+		named(resource.KindFailureDomain, "r2-a", resource.FailureDomain{Region: "r2"}),
+		named(resource.KindLink, "there", resource.Link{From: "r1", To: "r2", BytesPerSecond: 100_000}),
+		named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5), QueueTimeout: seconds(1), RequestBytes: 1000}),
+		named(resource.KindShift, "move", resource.Shift{Service: "desk", From: "r1", To: "r2", Cap: 100}),
+		named(resource.KindTarget, "t1", resource.Target{Service: "desk", FailureDomain: "r1-a", Slots: 3, Address: "192.0.2.1:80"}),
+		named(resource.KindTarget, "t2", resource.Target{Service: "desk", FailureDomain: "r1-b", Slots: 3, Address: "192.0.2.2:80"}),
+		named(resource.KindTarget, "t3", resource.Target{Service: "desk", FailureDomain: "r2-a", Slots: 3, Address: "192.0.2.3:80"}),
+		named(resource.KindTeam, "lawns", resource.Team{Rate: 100, Burst: 20, Weight: 1}),
+		named(resource.KindTeam, "riders", resource.Team{Rate: 1000, Burst: 200, Weight: 2}),
+		named(resource.KindTeam, "late", resource.Team{Rate: 1000, Burst: 200, Weight: 1}),
+	}
+}
+
+// bench is a steering that is alone in its fleet.
+type bench struct {
+	*steering.Steering
+	ledger        *share.Ledger
+	health        *steering.Health
+	configuration steering.Configuration
+}
+
+func newBench(resources ...resource.Resource) *bench {
+	b := &bench{health: steering.NewHealth(steering.DefaultBreaker())}
+	b.ledger = share.NewLedger(func() { b.Notify() })
+	b.Steering = steering.New(home, b.ledger, func([]share.Account, int) {}, b.health)
+	b.put(resources...)
+	return b
+}
+
+func (b *bench) put(resources ...resource.Resource) {
+	b.configuration = steering.Configuration{Snapshot: resource.NewSnapshotOf(resources), Revision: b.configuration.Revision + 1}
+	b.Configure(b.configuration)
+}
+
+func (b *bench) admit(timeout time.Duration, team string) (*steering.Grant, *refusal.Refusal) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return b.Admit(ctx, steering.Demand{Configuration: b.configuration, Service: "desk", Team: team})
+}
+
+func reasonOf(r *refusal.Refusal) refusal.Reason {
+	if r == nil {
+		return ""
+	}
+	return r.Reason
+}
+
+func TestLimits(t *testing.T) {
+	limits := steering.Limits(resource.NewSnapshotOf(basic()))
+	for account, want := range map[share.Account]share.Limit{
+		{Kind: share.KindTeam, Name: "lawns"}:         {Rate: 100, Burst: 20},
+		{Kind: share.KindTarget, Name: "t3"}:          {Units: 3, Hold: 5 * time.Second, Region: "r2"},
+		{Kind: share.KindRegion, Name: "r1"}:          {Units: 5, Hold: 5 * time.Second, Region: "r1"},
+		{Kind: share.KindFailureDomain, Name: "r1-a"}: {Units: 2, Hold: 5 * time.Second, Region: "r1"},
+		{Kind: share.KindShift, Name: "move"}:         {Rate: 90, Burst: 10},
+		{Kind: share.KindLink, Name: "there"}:         {Rate: 90_000, Burst: 10_000},
+		{Kind: share.KindFailureDomain, Name: "r1-b"}: {},
+	} {
+		if limits[account] != want {
+			t.Errorf("%v: got %+v, want %+v", account, limits[account], want)
+		}
+	}
+}
+
+// TestShiftPace checks that what a shift lets through grows with its pace and never exceeds pace or cap.
+func TestShiftPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resources := basic()[:12]
+		for i, r := range resources {
+			switch r.Name {
+			case "t1", "t2":
+				resources[i].Spec = resource.Target{Service: "other", FailureDomain: "r1-a", Slots: 3, Address: "192.0.2.1:80"}
+			case "t3":
+				resources[i].Spec = resource.Target{Service: "desk", FailureDomain: "r2-a", Slots: 100, Address: "192.0.2.3:80"}
+			case "r2":
+				resources[i].Spec = resource.Region{Capacity: 100}
+			case "move":
+				resources[i].Spec = resource.Shift{Service: "desk", From: "r1", To: "r2", Cap: 40, Pace: 10}
+			}
+		}
+		resources = append(resources, named(resource.KindTeam, "riders", resource.Team{Rate: 1000, Burst: 200, Weight: 1}),
+			named(resource.KindService, "other", resource.Service{RequestTimeout: seconds(5)}),
+			named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5)}))
+		b := newBench(resources...)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			_ = b.Run(ctx, func() steering.Configuration { return b.configuration }, func() <-chan struct{} { return nil })
+		}()
+		for second := 1; second <= 8; second++ {
+			admitted := 0
+			for range 200 {
+				time.Sleep(5 * time.Millisecond)
+				if grant, _ := b.admit(time.Second, "riders"); grant != nil {
+					admitted++
+					grant.Ran()
+				}
+			}
+			if limit := min(40, 10*second); admitted > limit {
+				t.Errorf("second %d: %d requests moved, more than %d", second, admitted, limit)
+			}
+			if least := min(40, 10*(second-1)) / 2; admitted < least {
+				t.Errorf("second %d: %d requests moved, fewer than %d", second, admitted, least)
+			}
+		}
+	})
+}
+
+// TestColdRamp checks that a target that is added gets its slots step by step.
+func TestColdRamp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resources := append(basic(), named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5), ColdRamp: seconds(10)}))
+		b := newBench(resources...)
+		cold := share.Account{Kind: share.KindTarget, Name: "t4"}
+		b.put(append(resources, named(resource.KindTarget, "t4", resource.Target{Service: "desk", FailureDomain: "r1-a", Slots: 4, Address: "192.0.2.4:80"}))...)
+		for second, want := range []int{1, 1, 1, 1, 1, 2, 2, 2, 3, 3, 4} {
+			if free := b.ledger.Free(cold); free != want {
+				t.Errorf("after %d s: %d slots, want %d", second, free, want)
+			}
+			time.Sleep(time.Second)
+			b.Configure(b.configuration)
+		}
+		if warm := b.ledger.Free(share.Account{Kind: share.KindTarget, Name: "t1"}); warm != 3 {
+			t.Errorf("a target that was there before has %d slots, want 3", warm)
+		}
+	})
+}
+
+// TestRefusals checks that each cause of a refusal gets its own reason, early.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  []resource.Resource
+		team    string
+		timeout time.Duration
+		fill    int
+		want    refusal.Reason
+		within  time.Duration
+	}{
+		{"served", nil, "riders", time.Second, 0, "", 0},
+		{"over the rate", []resource.Resource{named(resource.KindTeam, "riders", resource.Team{Rate: 0.1, Burst: 1, Weight: 1})}, "riders", 5 * time.Second, 0, refusal.RateExceeded, time.Second},
+		{"no slot", nil, "riders", 5 * time.Second, 8, refusal.Overloaded, time.Second},
+		{"no slot, short deadline", nil, "riders", 100 * time.Millisecond, 8, refusal.DeadlineTooShort, 100 * time.Millisecond},
+		{"no time", nil, "riders", time.Millisecond, 0, refusal.DeadlineTooShort, 0},
+		{"no target", []resource.Resource{named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5), QueueTimeout: seconds(1), Regions: []string{"r9"}})}, "riders", time.Second, 0, refusal.NoTarget, 0},
+		{"no wait", []resource.Resource{named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5)})}, "riders", 5 * time.Second, 8, refusal.Overloaded, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(append(basic(), test.change...)...)
+				time.Sleep(time.Second)
+				for range test.fill {
+					if grant, refused := b.admit(time.Second, ""); grant == nil {
+						t.Fatalf("the service is not filled: %v", refused)
+					}
+				}
+				start := time.Now()
+				_, refused := b.admit(test.timeout, test.team)
+				if reasonOf(refused) != test.want || time.Since(start) > test.within {
+					t.Errorf("got %v after %v, want %q within %v", refused, time.Since(start), test.want, test.within)
+				}
+				if refused != nil && !refused.NotRun {
+					t.Error("the refusal does not say that the request was not run")
+				}
+			})
+		})
+	}
+}
+
+// TestWait checks that a request waits for a slot or a token rather than being refused.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(basic()...)
+		time.Sleep(time.Second)
+		var held []*steering.Grant
+		for range 8 {
+			grant, _ := b.admit(time.Second, "")
+			held = append(held, grant)
+		}
+		time.AfterFunc(300*time.Millisecond, held[3].Ran)
+		start := time.Now()
+		grant, refused := b.admit(5*time.Second, "riders")
+		if grant == nil || time.Since(start) != 300*time.Millisecond {
+			t.Fatalf("got %v after %v, want a grant when the slot is free", refused, time.Since(start))
+		}
+		grant.Ran()
+		for range 20 {
+			if grant, _ := b.admit(time.Second, "lawns"); grant != nil {
+				grant.Ran()
+			}
+		}
+		start = time.Now()
+		grant, refused = b.admit(time.Second, "lawns")
+		if grant == nil || time.Since(start) > 50*time.Millisecond {
+			t.Fatalf("got %v after %v, want a grant when a token is there", refused, time.Since(start))
+		}
+	})
+}
+
+// TestFairness checks that teams that wait are served by their weights, whatever the length of their queues.
+func TestFairness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(basic()...)
+		time.Sleep(time.Second)
+		var mu sync.Mutex
+		served := map[string]int{}
+		var group sync.WaitGroup
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		for team, callers := range map[string]int{"riders": 40, "late": 200} {
+			for range callers {
+				group.Go(func() {
+					for ctx.Err() == nil {
+						grant, _ := b.admit(3*time.Second, team)
+						if grant == nil {
+							time.Sleep(10 * time.Millisecond)
+							continue
+						}
+						time.Sleep(40 * time.Millisecond)
+						grant.Ran()
+						mu.Lock()
+						served[team]++
+						mu.Unlock()
+					}
+				})
+			}
+		}
+		group.Wait()
+		total := served["riders"] + served["late"]
+		if total < 380 {
+			t.Errorf("%d requests served in 2 s on 8 slots at 40 ms each, want at least 380", total)
+		}
+		if least := float64(total) * 2 / 3 * 0.95; float64(served["riders"]) < least {
+			t.Errorf("the team with weight 2 of 3 got %d of %d", served["riders"], total)
+		}
+	})
+}
+
+// TestDistance checks that the nearest free target is chosen, and that ejected and excluded targets are not.
+func TestDistance(t *testing.T) {
+	b := newBench(basic()...)
+	choose := func(excluded ...string) string {
+		grant, refused := b.Admit(context.Background(), steering.Demand{Configuration: b.configuration, Service: "desk", Excluded: excluded})
+		if refused != nil {
+			return string(refused.Reason)
+		}
+		defer grant.Ran()
+		return grant.Target.Name
+	}
+	fail := func(target string) {
+		for range 3 {
+			b.health.Report(target, steering.OutcomeFailed, time.Now())
+		}
+	}
+	if got := choose(); got != "t1" {
+		t.Errorf("got %s, want the target of the same failure domain", got)
+	}
+	if got := choose("t1"); got != "t2" {
+		t.Errorf("got %s, want the target of the same region", got)
+	}
+	fail("t1")
+	if got := choose(); got != "t2" {
+		t.Errorf("got %s, want one that is not ejected", got)
+	}
+	fail("t2")
+	if got := choose("t3"); got != "t1" && got != "t2" {
+		t.Errorf("got %s, want an ejected target, since most of the service is ejected", got)
+	}
+	if got := choose("t1", "t2", "t3"); got != string(refusal.NoTarget) {
+		t.Errorf("got %s, want no-target", got)
+	}
+}
+
+// TestAdmission drives admissions at random and checks them against counters of what is in use.
+func TestAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(append(basic(), named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5)}))...)
+		use := map[string]int{}
+		limits := map[string]int{"t1": 3, "t2": 3, "t3": 3, "r1": 5, "r2": 5, "r1-a": 2}
+		var held []*steering.Grant
+		count := func(g *steering.Grant, n int) {
+			for _, name := range []string{g.Target.Name, g.Target.Region, g.Target.FailureDomain} {
+				use[name] += n
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				excluded := rapid.SliceOf(rapid.SampledFrom([]string{"t1", "t2", "t3"})).Draw(t, "excluded")
+				grant, _ := b.Admit(context.Background(), steering.Demand{Configuration: b.configuration, Service: "desk", Excluded: excluded})
+				if grant != nil {
+					held = append(held, grant)
+					count(grant, 1)
+				} else if len(excluded) == 0 && use["r1"] < 5 && use["t2"] < 3 {
+					t.Fatalf("refused although t2 is free: %v", use)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(held) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+				if rapid.Bool().Draw(t, "ran") {
+					held[i].Ran()
+				} else {
+					held[i].NotRun()
+				}
+				held[i].Ran()
+				count(held[i], -1)
+				held = append(held[:i], held[i+1:]...)
+			},
+			"": func(t *rapid.T) {
+				for name, limit := range limits {
+					if use[name] > limit {
+						t.Fatalf("%s: %d in use, limit %d", name, use[name], limit)
+					}
+				}
+				for _, name := range []string{"t1", "t2", "t3"} {
+					if free := b.ledger.Free(share.Account{Kind: share.KindTarget, Name: name}); free != limits[name]-use[name] {
+						t.Fatalf("%s: %d free, %s in use", name, free, fmt.Sprint(use))
+					}
+				}
+			},
+		})
+	})
+}
--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -12,7 +12,10 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,12 +25,14 @@
 	idleTimeout = 20 * time.Second
 	// freshIdleTimeout is the idle age up to which a connection may carry a request that must not run twice.
 	freshIdleTimeout = 2 * time.Second
-	// maxIdlePerTarget bounds the idle connections to one target.
-	maxIdlePerTarget = 64
+	// maxIdlePerTarget bounds the idle connections to one target, in each of the two pools.
+	maxIdlePerTarget = 2
 	// keepAliveIdle, keepAliveInterval and keepAliveCount bound the silence of a connection that is in use.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = 1 * time.Second
 	keepAliveCount    = 3
+	// userTimeout bounds how long the kernel waits for what was sent to be acknowledged.
+	userTimeout = 3 * time.Second
 	// maxResponseHeaderBytes bounds the headers of an answer.
 	maxResponseHeaderBytes = 256 << 10
 )
@@ -97,6 +102,8 @@
 	Trailer http.Header
 	// Idempotent is true for a request that may run more than once.
 	Idempotent bool
+	// Close is true for a connection that is closed after the answer, because the target has none to spare.
+	Close bool
 }
 
 // Send makes the attempt. The context bounds the whole answer, its body included.
@@ -106,6 +113,7 @@
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
 	request := newRequest(ctx, a)
+	request.Close = a.Close
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline), 0)
 		request.Header.Set(TimeoutHeader, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
@@ -117,6 +125,10 @@
 	if !connected {
 		return nil, &ErrNotSent{Cause: err}
 	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		// Something on the way has lost track of this connection, so it may have lost the idle ones too.
+		s.Close()
+	}
 	return nil, &ErrBroken{Cause: err}
 }
 
@@ -197,6 +209,7 @@
 func newTransport(idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
+		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
@@ -211,6 +224,16 @@
 	}
 }
 
+// setUserTimeout makes the kernel close a connection on which sent data stays unacknowledged. Keep-alive probes notice
+// only a connection on which nothing is under way.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // IsNotSent reports whether an error proves that no byte of the attempt reached a target.
 func IsNotSent(err error) bool {
 	var e *ErrNotSent
