--- a/core/services/share/lend.go
+++ b/core/services/share/lend.go
@@ -70,7 +70,7 @@
 
 // heedRecall makes this process ask soon about what it has borrowed and the sender needs back.
 func (l *Ledger) heedRecall(q LoanRequest) {
-	if p, ok := l.lenders[q.From]; ok && len(q.Recall) > 0 {
+	if p, ok := l.lenders[q.From]; ok && len(q.Recall) > 0 && !p.due {
 		p.due = true
 		l.signal()
 	}
@@ -172,7 +172,7 @@
 
 // recall asks a borrower to report at once.
 func (l *Ledger) recall(b borrower) {
-	if p, ok := l.lenders[b.id]; ok {
+	if p, ok := l.lenders[b.id]; ok && !p.recall {
 		p.recall = true
 		l.signal()
 	}
@@ -215,7 +215,7 @@
 		if most == 0 {
 			break
 		}
-		l.units[best].grant(from)
+		l.units[best].grant(from, now)
 		touched[best] = true
 	}
 	if missing > 0 {
@@ -230,7 +230,7 @@
 		if !ok {
 			continue
 		}
-		u.contested = now
+		u.contest(by, now)
 		for b := range u.loans {
 			if b != by {
 				l.recall(b)
@@ -239,6 +239,14 @@
 	}
 }
 
+// contest notes that somebody needs units that are lent to others.
+func (u *unit) contest(by borrower, now time.Time) {
+	if now.Sub(u.contested) < needTerm && u.contestedBy != by {
+		by = borrower{}
+	}
+	u.contested, u.contestedBy = now, by
+}
+
 // settle takes back what the borrower does not hold any more and reports whether that was something.
 func (u *unit) settle(from borrower, held int, now time.Time) bool {
 	u.advance(now)
@@ -260,10 +268,10 @@
 	return min(u.portion-u.lent, u.free(now))
 }
 
-func (u *unit) grant(from borrower) {
+func (u *unit) grant(from borrower, now time.Time) {
 	loan, ok := u.loans[from]
 	if !ok {
-		loan = &unitLoan{}
+		loan = &unitLoan{until: now.Add(lenderTerm + u.limit.Hold)}
 		u.loans[from] = loan
 	}
 	loan.units++
@@ -285,7 +293,7 @@
 	}
 	loan.hold = max(loan.hold, u.limit.Hold)
 	loan.until = now.Add(lenderTerm + loan.hold)
-	recalled := now.Sub(u.contested) < needTerm
+	recalled := now.Sub(u.contested) < needTerm && u.contestedBy != from
 	return UnitLoan{Units: loan.units, Hold: u.limit.Hold, Recalled: recalled}, true
 }
 
--- a/core/services/share/unit.go
+++ b/core/services/share/unit.go
@@ -23,6 +23,8 @@
 	busy time.Time
 	// contested is when somebody last needed units that are lent.
 	contested time.Time
+	// contestedBy is the only one who did so lately; empty if it was this process or several did.
+	contestedBy borrower
 	// regionBefore bounds the portion until regionUntil, after the account has moved or come back.
 	regionBefore string
 	regionUntil  time.Time
