Send mixes of requests by an open-loop schedule and cause faults meanwhile

Latency counts from when a request was due.

Its first run found two faults. The stand-in target echoed at most 512 bytes: the server stops reading a body once the answer begins unless told otherwise. The instance had the same fault for answers that begin before the body is read to its end.

--- /dev/null
+++ b/bench/load/report.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"medlarpond.dev/bench/latency"
+	"medlarpond.dev/core/standin/target"
+)
+
+// Report is what the callers saw.
+type Report struct {
+	Sent   int     `json:"sent"`
+	Groups []Group `json:"groups"`
+	// Worst is the smallest part of the requests within its rate that a team got answers to, and WorstTeam that team.
+	Worst     float64 `json:"worst"`
+	WorstTeam string  `json:"worst-team"`
+	Events    []Event `json:"events"`
+	// Targets are the counters of the stand-in targets.
+	Targets []TargetCount `json:"targets"`
+	// Seconds describe the run second by second.
+	Seconds []Second `json:"seconds"`
+}
+
+// Group is what one team saw of one service.
+type Group struct {
+	Team    string `json:"team"`
+	Service string `json:"service"`
+	Sent    int    `json:"sent"`
+	// Answered describes the latency of answers, from when their requests were due.
+	Answered latency.Summary `json:"answered"`
+	// Refusals and Failures count by reason.
+	Refusals map[string]int `json:"refusals"`
+	Failures map[string]int `json:"failures"`
+	// WithinRate is the number of requests that the team's rate and burst permitted, and Wrongful that of refused ones.
+	WithinRate int `json:"within-rate"`
+	Wrongful   int `json:"wrongful"`
+}
+
+// TargetCount is what a stand-in target counted during the run.
+type TargetCount struct {
+	Name   string `json:"name"`
+	Slots  int64  `json:"slots"`
+	Peak   int64  `json:"peak"`
+	Served int64  `json:"served"`
+	Shed   int64  `json:"shed"`
+}
+
+// Violated reports whether the target was sent more requests at once than it has slots.
+func (c TargetCount) Violated() bool { return c.Shed > 0 || c.Peak > c.Slots }
+
+// Second describes the requests that were due within one second.
+type Second struct {
+	Answered latency.Summary `json:"answered"`
+	Refused  int             `json:"refused"`
+	Failed   int             `json:"failed"`
+}
+
+func newReport(p *Plan, outcomes []outcome, events []Event, before, after []target.Load) Report {
+	r := Report{Sent: len(outcomes), Events: events, Groups: groups(outcomes), Seconds: seconds(p, outcomes)}
+	r.WorstTeam, r.Worst = worst(r.Groups)
+	for i := range after {
+		r.Targets = append(r.Targets, TargetCount{
+			Name: after[i].Name, Slots: after[i].Slots, Peak: after[i].Peak,
+			Served: after[i].Served - before[i].Served, Shed: after[i].Shed - before[i].Shed,
+		})
+	}
+	return r
+}
+
+func groups(outcomes []outcome) []Group {
+	type key struct{ team, service string }
+	found := map[key]*Group{}
+	samples := map[key][]time.Duration{}
+	for _, o := range outcomes {
+		k := key{o.team.Name, o.stream.Service}
+		g := found[k]
+		if g == nil {
+			g = &Group{Team: k.team, Service: k.service, Refusals: map[string]int{}, Failures: map[string]int{}}
+			found[k] = g
+		}
+		g.add(o)
+		if o.refusal == "" && o.failure == "" {
+			samples[k] = append(samples[k], o.latency)
+		}
+	}
+	var all []Group
+	for k, g := range found {
+		g.Answered = latency.Summarize(samples[k])
+		all = append(all, *g)
+	}
+	slices.SortFunc(all, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Service, b.Service))
+	})
+	return all
+}
+
+func (g *Group) add(o outcome) {
+	g.Sent++
+	if o.withinRate {
+		g.WithinRate++
+	}
+	switch {
+	case o.failure != "":
+		g.Failures[o.failure]++
+	case o.refusal != "":
+		g.Refusals[o.refusal]++
+		if o.withinRate {
+			g.Wrongful++
+		}
+	}
+}
+
+// worst returns the team that got the smallest part of what its rate permitted.
+func worst(groups []Group) (team string, part float64) {
+	within, answered := map[string]int{}, map[string]int{}
+	for _, g := range groups {
+		within[g.Team] += g.WithinRate
+		answered[g.Team] += g.Answered.Count
+	}
+	part = 1
+	for _, name := range slices.Sorted(maps.Keys(within)) {
+		if within[name] == 0 {
+			continue
+		}
+		if got := min(float64(answered[name])/float64(within[name]), 1); got < part || team == "" {
+			team, part = name, got
+		}
+	}
+	return team, part
+}
+
+func seconds(p *Plan, outcomes []outcome) []Second {
+	all := make([]Second, int((p.Duration+time.Second-1)/time.Second))
+	samples := make([][]time.Duration, len(all))
+	for _, o := range outcomes {
+		i := min(int(o.due/time.Second), len(all)-1)
+		switch {
+		case o.failure != "":
+			all[i].Failed++
+		case o.refusal != "":
+			all[i].Refused++
+		default:
+			samples[i] = append(samples[i], o.latency)
+		}
+	}
+	for i := range all {
+		all[i].Answered = latency.Summarize(samples[i])
+	}
+	return all
+}
+
+// targetLoads reads the counters of the targets; those that do not answer stay empty.
+func (r *runner) targetLoads(ctx context.Context) []target.Load {
+	loads := make([]target.Load, len(r.plan.Targets))
+	for i, address := range r.plan.Targets {
+		loads[i] = r.targetLoad(ctx, address)
+	}
+	return loads
+}
+
+func (r *runner) targetLoad(ctx context.Context, address string) target.Load {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	load := target.Load{Name: address}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return load
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return load
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&load)
+	return load
+}
+
+// Print writes the report as text.
+func (r Report) Print(w io.Writer) {
+	_, _ = fmt.Fprintln(w, "TEAM\tSERVICE\tSENT\tANSWERED\tP50\tP99\tP999\tMAX\tWITHIN-RATE\tWRONGFUL\tREFUSALS\tFAILURES")
+	for _, g := range r.Groups {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%v\t%v\t%v\t%d\t%d\t%s\t%s\n", g.Team, g.Service, g.Sent, g.Answered.Count,
+			round(g.Answered.P50), round(g.Answered.P99), round(g.Answered.P999), round(g.Answered.Max),
+			g.WithinRate, g.Wrongful, counts(g.Refusals), counts(g.Failures))
+	}
+	_, _ = fmt.Fprintf(w, "\nworst-served team: %s, answered %.2f%% of what its rate permits\n", r.WorstTeam, r.Worst*100)
+	for _, e := range r.Events {
+		_, _ = fmt.Fprintf(w, "at %v: %s %s\n", e.At.Round(time.Millisecond), e.What, e.Error)
+	}
+	for _, t := range r.Targets {
+		note := ""
+		if t.Violated() {
+			note = ": MORE THAN ITS SLOTS"
+		}
+		_, _ = fmt.Fprintf(w, "target %s served %d, peak %d of %d slots, shed %d%s\n", t.Name, t.Served, t.Peak, t.Slots, t.Shed, note)
+	}
+}
+
+func counts(by map[string]int) string {
+	if len(by) == 0 {
+		return "-"
+	}
+	text := ""
+	for _, reason := range slices.Sorted(maps.Keys(by)) {
+		if text != "" {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s %d", reason, by[reason])
+	}
+	return text
+}
+
+func round(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
--- a/core/instance/instance_test.go
+++ b/core/instance/instance_test.go
@@ -160,6 +160,7 @@
 		{"keyed request", "GET", "/plans/today", "", bearer(testKey), 200, "t-1 /plans/today"},
 		{"key in the query", "GET", "/plans/today?medlarpond-key=" + testKey + "&day=1", "", nil, 200, "t-1 /plans/today"},
 		{"body is echoed", "POST", "/plans", "two sacks", bearer(testKey), 200, "two sacks"},
+		{"long body is echoed", "POST", "/plans", strings.Repeat("x", 1000), bearer(testKey), 200, strings.Repeat("x", 1000)},
 		{"open route", "GET", "/hours", "", nil, 200, "t-1 /hours"},
 		{"no key", "GET", "/plans", "", nil, 401, `"reason":"no-key"`},
 		{"unknown key", "GET", "/plans", "", bearer("other"), 401, `"reason":"unknown-key"`},
--- a/core/routers/caller/caller.go
+++ b/core/routers/caller/caller.go
@@ -129,6 +129,8 @@
 	complete := false
 	defer func() { result.Release(complete) }()
 	_ = controller.SetWriteDeadline(result.Deadline.Add(writeMargin))
+	// The answer may begin while the body is still being read.
+	_ = controller.EnableFullDuplex()
 	t.stream(w, result.Response)
 	complete = true
 	_ = controller.SetWriteDeadline(time.Time{})
--- a/core/standin/target/target.go
+++ b/core/standin/target/target.go
@@ -85,6 +85,8 @@
 	w.Header().Set("X-Target", t.Name)
 	w.Header().Set("Content-Type", "text/plain")
 	if r.Method == http.MethodPost {
+		// Without full duplex the server stops reading the body once the answer begins.
+		_ = http.NewResponseController(w).EnableFullDuplex()
 		if r.ContentLength >= 0 {
 			w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 		}
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	flags "github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
 
 	"medlarpond.dev/core/standin/platform"
 	"medlarpond.dev/core/standin/target"
@@ -26,6 +27,7 @@
 
 type platformCommand struct {
 	Listen string `long:"listen" default:"127.0.0.1:7500" description:"address of the key-value service"`
+	Faults string `long:"faults" description:"address to switch faults on and off by PUT /faults; empty for none"`
 }
 
 type targetCommand struct {
@@ -49,7 +51,16 @@
 }
 
 // Execute runs the platform.
-func (c *platformCommand) Execute([]string) error { return serve(c.Listen, platform.New()) }
+func (c *platformCommand) Execute([]string) error {
+	p := platform.New()
+	if c.Faults == "" {
+		return serve(c.Listen, p)
+	}
+	group := new(errgroup.Group)
+	group.Go(func() error { return serve(c.Listen, p) })
+	group.Go(func() error { return serve(c.Faults, platform.FaultHandler(p)) })
+	return group.Wait()
+}
 
 // Execute runs the target.
 func (c *targetCommand) Execute([]string) error {
