Refuse a stored change that names no resource

Cause: found by fuzzing: a log entry such as {"revision":1,"action":"create"} made every instance that read it panic. Change: decoding refuses it with a typed error.

--- a/core/services/configuration/change.go
+++ b/core/services/configuration/change.go
@@ -76,6 +76,9 @@
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return Record{}, trace.Wrap(err, "decoding a change")
 	}
+	if c.Resource == nil && (c.Action == ActionCreate || c.Action == ActionUpdate || c.Action == ActionDelete) {
+		return Record{}, &ErrNoResource{Revision: c.Revision, Action: c.Action}
+	}
 	return Record{Change: c, Raw: raw, Chain: chainOf(raw)}, nil
 }
 
--- a/core/services/configuration/errors.go
+++ b/core/services/configuration/errors.go
@@ -22,6 +22,17 @@
 	return fmt.Sprintf("change %d belongs to another history than the one in force", e.Revision)
 }
 
+// ErrNoResource is returned for a stored change that says what to do and not to which resource.
+type ErrNoResource struct {
+	Revision uint64
+	Action   Action
+}
+
+// Error implements error.
+func (e *ErrNoResource) Error() string {
+	return fmt.Sprintf("change %d (%s) names no resource", e.Revision, e.Action)
+}
+
 // ErrVersionTooOld is returned when the changes after a version are no longer held.
 type ErrVersionTooOld struct {
 	Oldest uint64
