Fuzz what parses outside input

Change: native fuzz targets for settings, resources, stored changes, calls of peers and files of mpctl; make fuzz runs each for FUZZTIME, make soak runs the stateful fuzzing with another seed and more checks.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := bench core entry mpctl standin trial
 GOLANGCI_VERSION := v2.15.0
 
-.PHONY: build fmt fmt-check lint vet test tools tidy mutants count
+.PHONY: build fmt fmt-check lint vet test tools tidy mutants count fuzz soak
 
 build:
 	go build -o bin/ ./bench ./entry ./mpctl ./standin ./trial
@@ -38,3 +38,19 @@
 count:
 	@git ls-files '*.go' | grep -v '_test\.go$$' | xargs cat | wc -l | xargs echo "code lines:"
 	@git ls-files '*_test.go' core/contract | xargs cat | wc -l | xargs echo "test lines:"
+
+# Runs each native fuzz target for FUZZTIME; a crasher is kept under testdata as a seed.
+FUZZTIME ?= 20s
+FUZZ := core/settings:FuzzParse core/models/resource:FuzzResource core/services/configuration:FuzzRecord \
+	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources
+
+fuzz:
+	for f in $(FUZZ); do go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) -parallel 4 ./$${f%:*} || exit 1; done
+
+# Runs the stateful fuzzing with another seed and many more checks than CI does.
+SEED ?= 0
+CHECKS ?= 5000
+SOAK := $(shell grep -rl 'pgregory.net/rapid' --include='*_test.go' core bench 2>/dev/null | xargs -r -n1 dirname | sort -u | sed 's|^|./|')
+
+soak:
+	go test -timeout 2h $(SOAK) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
