--- a/mpctl/api/client.go
+++ b/mpctl/api/client.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// callTimeout bounds every call but a watch.
+	// callTimeout bounds every call but a watch and a restoration.
 	callTimeout = 10 * time.Second
+	// restoreTimeout bounds a restoration.
+	restoreTimeout = 70 * time.Second
 	// resends is how often a write of unknown outcome is sent again, and resendPause the pause before.
 	resends     = 2
 	resendPause = time.Second
@@ -163,6 +165,27 @@
 	}
 }
 
+// Restored says what a restoration has put back; From and To are zero if nothing was missing.
+type Restored struct {
+	From     uint64 `json:"from"`
+	To       uint64 `json:"to"`
+	Replaced int    `json:"replaced"`
+}
+
+type wireRestore struct {
+	Actor               string `json:"actor"`
+	Reason              string `json:"reason"`
+	ReplaceOtherHistory bool   `json:"replace-other-history,omitempty"`
+}
+
+// Restore puts back into the store the changes in force that it lacks.
+func (c *Client) Restore(ctx context.Context, a Author, replace bool) (Restored, error) {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	body := wireRestore{Actor: a.Actor, Reason: a.Reason, ReplaceOtherHistory: replace}
+	return exchange[Restored](ctx, c, http.MethodPost, "/v1/restore", body)
+}
+
 // errFound ends a watch that has found what it looked for.
 var errFound = errors.New("found")
 
@@ -216,9 +239,14 @@
 }
 
 func call[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
-	var result T
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return exchange[T](ctx, c, method, path, body)
+}
+
+// exchange makes a call that only the context bounds.
+func exchange[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
+	var result T
 	content, err := json.Marshal(body)
 	if err != nil {
 		return result, err
--- a/mpctl/help.go
+++ b/mpctl/help.go
@@ -83,6 +83,13 @@
 	statusHelp = `Shows the instances, where the latest change is in force and where it is not,
 and what the instance that was asked thinks of the store and of its peers.
 docs/OPERATIONS.md says what each state means and what to do.`
+	restoreHelp = `Puts back into the store the changes that are in force and that it has lost,
+such as after it came back with an older state. 'mpctl status' shows store:
+behind or diverged then. Changes of another history are replaced only with
+--replace-other-history.
+
+Examples:
+  mpctl restore -m 'the store came back from a backup'`
 	drainHelp = `Marks a target as leaving: it gets no new work within 5 s, and what runs
 finishes. To take it back: mpctl set target NAME leaving=false.
 
@@ -114,6 +121,7 @@
 		{"watch", "follow changes", watchHelp, &watchCommand{program: p}},
 		{"history", "show past changes", historyHelp, &historyCommand{program: p}},
 		{"status", "show the state of the fleet", statusHelp, &statusCommand{program: p}},
+		{"restore", "put back what the store has lost", restoreHelp, &restoreCommand{program: p}},
 		{"drain", "take a target out of service", drainHelp, &drainCommand{program: p}},
 		{"keys", "grant and withdraw keys", "Grants and withdraws the keys by which teams call.", &struct{}{}},
 	}
--- a/mpctl/write.go
+++ b/mpctl/write.go
@@ -31,14 +31,19 @@
 	if p.options.Wait > 0 {
 		return p.waitInForce(a.Revision)
 	}
-	if !a.Accepted && len(a.NotInForce) > 0 {
+	if !a.Accepted {
 		return &errNotInForce{revision: a.Revision, lacking: a.NotInForce}
 	}
 	return nil
 }
 
 // named returns an author whose next change has an identifier of its own.
-func (p *program) named(a api.Author) api.Author { return a }
+func (p *program) named(a api.Author) api.Author {
+	if a.ID == "" {
+		a.ID = rand.Text()
+	}
+	return a
+}
 
 type setCommand struct {
 	program   *program
