Obey fleet-wide limits by the seats of the fleet record

Cause: each instance's ledger owned the whole of every limit. Found: a borrower whose units had expired never told the lender, which waited for the hold of 10 s. Conclusion: wired; wrongful refusals are measured next.

--- a/core/instance/fleet.go
+++ b/core/instance/fleet.go
@@ -146,12 +146,6 @@
 // confirmed reports whether this instance may serve keyed routes and use shares.
 func (i *Instance) confirmed() bool { return i.fleet.exchanger.Confirmed() }
 
-// settledEpoch returns the latest epoch within whose portions this instance stays.
-func (i *Instance) settledEpoch() uint64 { return i.fleet.registrar.Fleet().Epoch }
-
-// activate tells the parts that use portions that the earlier epochs are over.
-func (i *Instance) activate(uint64, bool) {}
-
 // longestHold returns for how long a silent instance's loans and requests may go on.
 func (i *Instance) longestHold() time.Duration {
 	longest := time.Duration(0)
@@ -184,9 +178,11 @@
 
 // withdraw takes this instance out of the fleet record once nothing of its portions is in use.
 func (i *Instance) withdraw(ctx context.Context) {
+	settling, stopSettling := context.WithTimeout(ctx, leaveTimeout)
+	settled := i.awaitSettled(settling)
+	stopSettling()
 	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	settled := i.settledEpoch() >= i.fleet.registrar.Fleet().Epoch
 	if err := i.fleet.registration.Withdraw(bounded, settled); err != nil {
 		i.logger.Warn("cannot withdraw from the store; peers will notice the stop", zap.Error(err))
 	}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -43,6 +43,7 @@
 	fleet    fleet
 	sender   *target.Sender
 	requests requests
+	shares   *shares
 	meter    *meter.Meter
 	peers    *peer.Server
 	caller   *http.Server
@@ -72,6 +73,7 @@
 	i.lifecycle.Store(membership.StateStarting)
 	i.fleet = i.newFleet()
 	i.reader = i.newReader()
+	i.shares = i.newShares(func() { i.requests.steering.Notify() })
 	i.requests = i.newRequests()
 	i.caller = i.server(i.track(caller.New(i.requests.dispatcher, i.locate, i.meter, logger)))
 	writer := configuration.NewWriter(store, state)
@@ -99,6 +101,8 @@
 	tree.Start(duty.Duty{Name: "heartbeats", Run: i.fleet.exchanger.Run})
 	tree.Start(duty.Duty{Name: "archive", Run: i.fleet.archive.Run})
 	i.meetPeers(ctx)
+	tree.Start(duty.Duty{Name: "epochs", Run: i.followEpochs})
+	tree.Start(duty.Duty{Name: "loans", Run: i.shares.ledger.Run})
 	tree.Start(duty.Duty{Name: "steering", Run: i.steer})
 	tree.Start(duty.Duty{Name: "open-requests", Run: i.requests.dispatcher.Run})
 	tree.Start(duty.Duty{Name: "idempotency-keys", Run: i.requests.claimer.Run})
@@ -132,6 +136,7 @@
 	_ = l.peer.Close()
 	i.peers.Close()
 	i.fleet.pool.Close()
+	i.shares.pool.Close()
 	i.requests.pool.Close()
 	i.sender.Close()
 	i.logger.Info("stopped")
--- a/core/instance/request.go
+++ b/core/instance/request.go
@@ -11,13 +11,11 @@
 	"medlarpond.dev/core/services/dispatch"
 	"medlarpond.dev/core/services/idempotency"
 	"medlarpond.dev/core/services/membership"
-	"medlarpond.dev/core/services/share"
 	"medlarpond.dev/core/services/steering"
 )
 
 // requests is what an instance needs to serve callers' requests.
 type requests struct {
-	ledger     *share.Ledger
 	steering   *steering.Steering
 	dispatcher *dispatch.Dispatcher
 	claimer    *idempotency.Claimer
@@ -28,10 +26,9 @@
 func (i *Instance) newRequests() requests {
 	s := i.settings
 	var r requests
-	r.ledger = share.NewLedger(func() { r.steering.Notify() })
 	health := steering.NewHealth(steering.DefaultBreaker())
 	place := steering.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
-	r.steering = steering.New(place, r.ledger, r.ledger.Want, health)
+	r.steering = steering.New(place, i.shares.ledger, i.shares.ledger.Want, health)
 	r.pool = peer.NewPool()
 	calls := peerrouter.NewRequests(s.Instance.ID, i.table, r.pool, s.Peers.CallTimeout)
 	register := idempotency.NewRegister()
--- a/core/services/share/borrow.go
+++ b/core/services/share/borrow.go
@@ -141,7 +141,7 @@
 		}
 	}
 	for id, p := range l.lenders {
-		if !seated[id] && !p.asking && !l.holds(id) {
+		if !seated[id] && !p.asking && !p.recall && !l.holds(id) {
 			delete(l.lenders, id)
 		}
 	}
@@ -364,6 +364,7 @@
 	}
 	for _, loan := range reply.Units {
 		if u, ok := l.units[loan.Account]; ok {
+			p.due = p.due || (loan.Recalled && loan.Units == 0 && u.free(now) > 0)
 			if n := u.receive(p.seat, loan, expires, now); n > 0 {
 				gained = true
 				l.fulfil(loan.Account, n)
@@ -411,11 +412,15 @@
 		return 0
 	}
 	h, ok := u.holdings[seat]
+	if !ok && loan.Units == 0 {
+		return 0
+	}
 	if !ok {
 		h = &unitHolding{}
 		u.holdings[seat] = h
 	}
-	if loan.Units < h.units {
+	if loan.Units < h.units || loan.Units == 0 {
+		h.recalled = h.recalled || loan.Recalled
 		return 0
 	}
 	added := loan.Units - h.units
--- a/core/services/share/epoch.go
+++ b/core/services/share/epoch.go
@@ -54,6 +54,7 @@
 	g.self, g.current = self, e
 	g.activated, g.settled = time.Time{}, false
 	l.deal(time.Now())
+	l.recallExcess()
 }
 
 // Activate lets this process use its whole portion of the current epoch, if that is the one named. It may be called
--- a/core/services/share/lend.go
+++ b/core/services/share/lend.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// recallExcess recalls what is lent beyond the portion.
+func (l *Ledger) recallExcess() {
+	for _, r := range l.rates {
+		if !r.lent.within(r.portion) {
+			for b := range r.loans {
+				l.recall(b)
+			}
+		}
+	}
+	for _, u := range l.units {
+		if u.lent > u.portion {
+			for b := range u.loans {
+				l.recall(b)
+			}
+		}
+	}
+}
+
 // recallRate marks the loans that are larger than the part of their borrower.
 func (l *Ledger) recallRate(r *rate, except borrower, now time.Time) {
 	for b, loan := range r.loans {
@@ -172,7 +190,12 @@
 
 // recall asks a borrower to report at once.
 func (l *Ledger) recall(b borrower) {
-	if p, ok := l.lenders[b.id]; ok && !p.recall {
+	p, ok := l.lenders[b.id]
+	if !ok {
+		p = &lender{seat: b.id, gap: minAskGap}
+		l.lenders[b.id] = p
+	}
+	if !p.recall {
 		p.recall = true
 		l.signal()
 	}
@@ -289,7 +312,7 @@
 		return UnitLoan{}, false
 	}
 	if u.limit.Units == 0 || u.lent > u.portion {
-		return UnitLoan{}, false
+		return UnitLoan{Hold: u.limit.Hold, Recalled: true}, true
 	}
 	loan.hold = max(loan.hold, u.limit.Hold)
 	loan.until = now.Add(lenderTerm + loan.hold)
--- a/core/services/share/unit.go
+++ b/core/services/share/unit.go
@@ -67,7 +67,8 @@
 	u.limit = limit
 }
 
-// advance forgets holdings that have expired and cover no unit in use, and takes back loans that have ended.
+// advance keeps of the holdings that have expired only what covers units in use, and takes back loans that have ended. A
+// holding without units stays until the lender has been told.
 func (u *unit) advance(now time.Time) {
 	for b, loan := range u.loans {
 		if !now.Before(loan.until) {
@@ -76,12 +77,8 @@
 		}
 	}
 	for lender, h := range u.holdings {
-		if now.Before(h.expires) {
-			continue
-		}
-		h.units = min(h.units, max(u.used+u.lent-u.portion-u.coverWithout(lender), 0))
-		if h.units == 0 {
-			delete(u.holdings, lender)
+		if !now.Before(h.expires) {
+			h.units = min(h.units, max(u.used+u.lent-u.portion-u.coverWithout(lender), 0))
 		}
 	}
 }
