Serve teams in order when slots become free one by one, and decide faster

Cause: a pass over a service's queue tried each team; a slot that became free between two tries went to whichever team came next, whatever its weight. Every decision rated all targets.

Change: a pass ends where the first team in order finds no room. Candidates are rated in the order of distance, no farther than needed.

--- a/core/routers/caller/caller_test.go
+++ b/core/routers/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,10 +137,9 @@
 // TestCrashCleared checks that a request whose target died for another reason is served at the next attempt and is not
 // held back afterwards; and that an attempt is refused as not run when its owner cannot be asked.
 func TestCrashCleared(t *testing.T) {
-	first := true
+	var died atomic.Bool
 	target := newTarget(t, func(c net.Conn, _, _ string) {
-		if first {
-			first = false
+		if died.CompareAndSwap(false, true) {
 			_ = c.Close()
 			return
 		}
@@ -162,7 +162,7 @@
 	if refused != 2 {
 		t.Errorf("%d instances refused, want the two that are not the owner", refused)
 	}
-	f.unreachable = map[string]bool{}
+	f.heal()
 	for instance := range 3 {
 		if got := f.do(t, instance, post); got.status != 200 {
 			t.Errorf("got %+v, want an answer", got)
@@ -191,7 +191,7 @@
 				f.cut("entry-1")
 			}
 		}
-		f.unreachable = map[string]bool{}
+		f.heal()
 		seen := 0
 		for _, request := range target.requests() {
 			seen += strings.Count(request, "\r\n\r\n"+name)
--- a/core/routers/caller/fleet_test.go
+++ b/core/routers/caller/fleet_test.go
@@ -216,6 +216,12 @@
 	f.unreachable[id] = true
 }
 
+func (f *fleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.unreachable)
+}
+
 func (f *fleet) grant(_ context.Context, owner string, p crash.Fingerprint) (bool, error) {
 	if !f.reachable(owner) {
 		return false, errUnreachable
--- a/core/services/steering/grant.go
+++ b/core/services/steering/grant.go
@@ -67,13 +67,10 @@
 func (s *Steering) try(service *servicePlan, team string, excluded []string) (*Grant, shortage) {
 	costs, _ := s.scratch.Get().(*[]float64)
 	defer s.scratch.Put(costs)
-	if usable := s.rate(service, excluded, costs); usable == 0 {
-		return nil, shortTargets
-	}
+	search := search{steering: s, service: service, view: s.health.view(service), excluded: excluded, costs: (*costs)[:0]}
+	defer func() { *costs = search.costs }()
 	taken := team == ""
-	for best := cheapest(*costs); best >= 0; best = cheapest(*costs) {
-		c := &service.candidates[best]
-		(*costs)[best] = math.Inf(1)
+	for c := search.next(); c != nil; c = search.next() {
 		if !s.hasRoom(c) {
 			continue
 		}
@@ -88,38 +85,58 @@
 	if taken {
 		s.returnTokens(nil, team)
 	}
+	if search.usable == 0 {
+		return nil, shortTargets
+	}
 	return nil, shortRoom
 }
 
-// rate computes the cost of each candidate, infinite for one without a free slot, and returns the number of candidates
-// that could serve if they had one.
-func (s *Steering) rate(service *servicePlan, excluded []string, costs *[]float64) int {
-	*costs = (*costs)[:0]
-	usable := 0
-	view := s.health.view(service)
-	for i := range service.candidates {
-		c := &service.candidates[i]
-		cost := math.Inf(1)
-		penalty, ejected := view.penalty(c.target.Name)
-		if !ejected && !slices.Contains(excluded, c.target.Name) {
-			usable++
-			if free := s.ledger.Free(c.units[0]); free > 0 {
-				cost = c.distance + penalty + max(0, 1-float64(free)/float64(c.target.Slots))
-			}
-		}
-		*costs = append(*costs, cost)
-	}
-	return usable
+// search yields the candidates of a service that have a free slot, the cheapest first. It looks at no farther candidate
+// than it must.
+type search struct {
+	steering *Steering
+	service  *servicePlan
+	view     healthView
+	excluded []string
+	// costs holds the costs of the candidates that were looked at; infinite for those that were yielded or cannot serve.
+	costs []float64
+	// usable counts the candidates looked at that could serve if they had a free slot.
+	usable int
 }
 
-func cheapest(costs []float64) int {
+func (x *search) next() *candidate {
 	best, least := -1, math.Inf(1)
-	for i, cost := range costs {
+	for i, cost := range x.costs {
+		if cost < least {
+			best, least = i, cost
+		}
+	}
+	for i := len(x.costs); i < len(x.service.candidates) && x.service.candidates[i].distance < least; i++ {
+		cost := x.rate(&x.service.candidates[i])
+		x.costs = append(x.costs, cost)
 		if cost < least {
 			best, least = i, cost
 		}
 	}
-	return best
+	if best < 0 {
+		return nil
+	}
+	x.costs[best] = math.Inf(1)
+	return &x.service.candidates[best]
+}
+
+// rate returns the cost of a candidate, which is at least its distance.
+func (x *search) rate(c *candidate) float64 {
+	penalty, ejected := x.view.penalty(c.target.Name)
+	if ejected || slices.Contains(x.excluded, c.target.Name) {
+		return math.Inf(1)
+	}
+	x.usable++
+	free := x.steering.ledger.Free(c.units[0])
+	if free == 0 {
+		return math.Inf(1)
+	}
+	return c.distance + penalty + max(0, 1-float64(free)/float64(c.target.Slots))
 }
 
 // hasRoom reports whether all units of a candidate are free and its charges were not refused a moment ago.
--- a/core/services/steering/queue.go
+++ b/core/services/steering/queue.go
@@ -164,6 +164,9 @@
 		if grant == nil {
 			l.short = short
 			l.resume = now.Add(plan.tokenPause(l.team))
+			if short == shortRoom && len(l.waiters[0].excluded) == 0 {
+				q.shortOfRoom()
+			}
 			continue
 		}
 		q.advance(l)
@@ -174,6 +177,16 @@
 	q.demand(service)
 }
 
+// shortOfRoom marks every line: where the first in order finds no room, a slot that becomes free a moment later must not
+// go to one behind it.
+func (q *queue) shortOfRoom() {
+	for _, l := range q.lines {
+		if l.short == shortNothing {
+			l.short = shortRoom
+		}
+	}
+}
+
 // next returns the line to serve next; nil if each lacks something.
 func (q *queue) next() *line {
 	var best *line
--- /dev/null
+++ b/core/services/steering/steering_bench_test.go
@@ -0,0 +1,317 @@
+package steering_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/services/share"
+	"medlarpond.dev/core/services/steering"
+)
+
+// deployment is the size of one of the two sites in the brief.
+type deployment struct {
+	name    string
+	regions []string
+	targets int
+	slots   int
+	// within and between are the delays of one way between failure domains and between regions.
+	within, between time.Duration
+}
+
+var deployments = []deployment{
+	{"sonargaon", []string{"kolkata", "siliguri", "durgapur"}, 20, 3, 1500 * time.Microsecond, 12 * time.Millisecond},
+	{"trust", []string{"pos", "sfo", "pta"}, 20, 4, time.Millisecond, 12 * time.Millisecond},
+}
+
+const (
+	benchInstances = 7
+	// benchWork is how long a target works on a request.
+	benchWork = 20 * time.Millisecond
+	// overload is the number of callers for each slot.
+	overload = 8
+)
+
+// teamWeights are the weights of the 8 teams, a few of them large.
+var teamWeights = []float64{4, 4, 1, 1, 1, 1, 1, 1}
+
+func (d deployment) total() int { return d.targets * d.slots }
+
+func (d deployment) place(n int) steering.Place {
+	region := d.regions[n%len(d.regions)]
+	return steering.Place{Region: region, FailureDomain: fmt.Sprintf("%s-%d", region, n/len(d.regions)%2)}
+}
+
+func (d deployment) resources() []resource.Resource {
+	all := []resource.Resource{named(resource.KindService, "desk", resource.Service{
+		RequestTimeout: seconds(5), QueueTimeout: seconds(0.2), RequestBytes: 1000,
+	})}
+	for _, from := range d.regions {
+		all = append(all, named(resource.KindRegion, from, resource.Region{Capacity: d.total()}))
+		for n := range 2 {
+			all = append(all, named(resource.KindFailureDomain, fmt.Sprintf("%s-%d", from, n), resource.FailureDomain{Region: from}))
+		}
+		for _, to := range d.regions {
+			if from != to {
+				all = append(all, named(resource.KindLink, from+"-"+to, resource.Link{From: from, To: to, BytesPerSecond: 37_500_000}))
+			}
+		}
+	}
+	for n := range d.targets {
+		all = append(all, named(resource.KindTarget, fmt.Sprintf("t%02d", n), resource.Target{
+			Service: "desk", FailureDomain: d.place(n).FailureDomain, Slots: d.slots, Connections: 400, Address: fmt.Sprintf("192.0.2.%d:80", n+1),
+		}))
+	}
+	for n, weight := range teamWeights {
+		all = append(all, named(resource.KindTeam, fmt.Sprintf("team-%d", n), resource.Team{Rate: 1e6, Burst: 1e5, Weight: weight}))
+	}
+	return all
+}
+
+// world is the instances of a deployment whose ledgers lend to each other.
+type world struct {
+	deployment
+	instances []*bench
+	stop      context.CancelFunc
+	// over counts the requests that began at a target beyond its slots.
+	over    atomic.Int64
+	running []atomic.Int64
+}
+
+// newWorld starts the instances; without loans each keeps an equal part.
+func newWorld(d deployment, instances int, loans bool) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{deployment: d, stop: cancel, running: make([]atomic.Int64, d.targets)}
+	epoch := share.Epoch{Number: 1}
+	for n := range instances {
+		epoch.Seats = append(epoch.Seats, share.Seat{ID: fmt.Sprint(n), Region: d.place(n).Region})
+	}
+	resources := d.resources()
+	for n := range instances {
+		b := &bench{health: steering.NewHealth(steering.DefaultBreaker())}
+		b.ledger = share.NewLedger(func() { b.Notify() })
+		b.ledger.Ask = func(_ context.Context, seat string, r share.LoanRequest) (share.LoanReply, error) {
+			var to int
+			_, _ = fmt.Sscan(seat, &to)
+			time.Sleep(2 * w.delay(n, to))
+			return w.instances[to].ledger.Lend(r), nil
+		}
+		if instances > 1 {
+			b.ledger.SetEpoch(epoch, fmt.Sprint(n))
+			b.ledger.Activate(1, true)
+		}
+		b.Steering = steering.New(d.place(n), b.ledger, b.ledger.Want, b.health)
+		w.instances = append(w.instances, b)
+		b.put(resources...)
+	}
+	if loans {
+		for _, b := range w.instances {
+			go func() { _ = b.ledger.Run(ctx) }()
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	return w
+}
+
+func (w *world) delay(a, b int) time.Duration {
+	if w.place(a).Region == w.place(b).Region {
+		return w.within
+	}
+	return w.between
+}
+
+// run admits a request and occupies its target; it reports false for a refusal.
+func (w *world) run(instance int, team string, work time.Duration) bool {
+	grant, _ := w.instances[instance].admit(5*time.Second, team)
+	if grant == nil {
+		return false
+	}
+	var n int
+	_, _ = fmt.Sscanf(grant.Target.Name, "t%d", &n)
+	if w.running[n].Add(1) > int64(w.slots) {
+		w.over.Add(1)
+	}
+	time.Sleep(work)
+	w.running[n].Add(-1)
+	grant.Ran()
+	return true
+}
+
+// BenchmarkSteeringDecision measures what a decision that needs no other instance adds, beside a local least-loaded
+// choice.
+func BenchmarkSteeringDecision(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(d.name+"/steering", func(b *testing.B) {
+			w := newWorld(d, 1, false)
+			defer w.stop()
+			time.Sleep(200 * time.Millisecond)
+			demand := steering.Demand{Configuration: w.instances[0].configuration, Service: "desk", Team: "team-0"}
+			measure(b, func() {
+				if grant, _ := w.instances[0].Admit(context.Background(), demand); grant != nil {
+					grant.Ran()
+				}
+			})
+		})
+		b.Run(d.name+"/least-loaded", func(b *testing.B) {
+			var mu sync.Mutex
+			running := map[string]int{}
+			names := make([]string, d.targets)
+			for n := range names {
+				names[n] = fmt.Sprintf("t%02d", n)
+			}
+			measure(b, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				best := names[0]
+				for _, name := range names {
+					if running[name] < running[best] {
+						best = name
+					}
+				}
+				running[best]++
+				running[best]--
+			})
+		})
+	}
+}
+
+func measure(b *testing.B, decide func()) {
+	b.Helper()
+	b.ReportAllocs()
+	times := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		start := time.Now()
+		decide()
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	for name, part := range map[string]float64{"p50-ns": 0.5, "p99-ns": 0.99, "p999-ns": 0.999} {
+		b.ReportMetric(float64(times[int(part*float64(len(times)-1))]), name)
+	}
+}
+
+// BenchmarkSteeringHeadroom measures the part of all slots that is busy at the first refusal, with all requests at one
+// instance of seven.
+func BenchmarkSteeringHeadroom(b *testing.B) {
+	for _, d := range deployments {
+		for name, loans := range map[string]bool{"steering": true, "static-split": false} {
+			b.Run(d.name+"/"+name, func(b *testing.B) {
+				for b.Loop() {
+					w := newWorld(d, benchInstances, loans)
+					busy := 0
+					for {
+						grant, _ := w.instances[0].admit(time.Second, "")
+						if grant == nil {
+							break
+						}
+						busy++
+					}
+					w.stop()
+					b.ReportMetric(100*float64(busy)/float64(d.total()), "%busy")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSteeringFairness measures the worst-served team's part of its weighted max-min share, and requests beyond a
+// target's slots, while callers in a closed loop ask for several times what the targets can do.
+func BenchmarkSteeringFairness(b *testing.B) {
+	for _, d := range deployments {
+		for name, instances := range map[string]int{"one-instance": 1, "seven-instances": benchInstances} {
+			b.Run(d.name+"/"+name, func(b *testing.B) {
+				for b.Loop() {
+					w := newWorld(d, instances, instances > 1)
+					worst, used, refused := w.overload(2 * time.Second)
+					w.stop()
+					b.ReportMetric(100*worst, "%worst-share")
+					b.ReportMetric(100*used, "%used")
+					b.ReportMetric(100*refused, "%refused")
+					b.ReportMetric(float64(w.over.Load()), "over-slots")
+				}
+			})
+		}
+	}
+}
+
+// overload runs callers for a time and returns the worst-served team's part of its share, the part of all slots that was
+// used, and the part of the requests that was refused.
+func (w *world) overload(length time.Duration) (worst, used, refused float64) {
+	var served [8]atomic.Int64
+	var refusals atomic.Int64
+	var group sync.WaitGroup
+	var from, until time.Time
+	from = time.Now().Add(time.Second)
+	until = from.Add(length)
+	callers := overload * w.total() / len(teamWeights)
+	for team := range teamWeights {
+		for caller := range callers {
+			at := caller % len(w.instances)
+			group.Go(func() {
+				for time.Now().Before(until) {
+					ok := w.run(at, fmt.Sprintf("team-%d", team), benchWork)
+					switch {
+					case time.Now().Before(from):
+					case ok:
+						served[team].Add(1)
+					default:
+						refusals.Add(1)
+					}
+					if !ok {
+						time.Sleep(benchWork)
+					}
+				}
+			})
+		}
+	}
+	group.Wait()
+	var total int64
+	for team := range teamWeights {
+		total += served[team].Load()
+	}
+	shares := maxMin(float64(total), teamWeights, float64(callers)/benchWork.Seconds()*length.Seconds())
+	worst = 1
+	for team, fair := range shares {
+		worst = min(worst, float64(served[team].Load())/fair)
+	}
+	capacity := float64(w.total()) / benchWork.Seconds() * length.Seconds()
+	return worst, float64(total) / capacity, float64(refusals.Load()) / float64(refusals.Load()+total)
+}
+
+// maxMin divides an amount by weight among teams that each want at most the same limit.
+func maxMin(amount float64, weights []float64, limit float64) []float64 {
+	shares := make([]float64, len(weights))
+	open := map[int]bool{}
+	for i := range weights {
+		open[i] = true
+	}
+	for len(open) > 0 {
+		sum := 0.0
+		for i := range open {
+			sum += weights[i]
+		}
+		full := false
+		for i := range open {
+			if amount*weights[i]/sum >= limit {
+				shares[i] = limit
+				amount -= limit
+				delete(open, i)
+				full = true
+				break
+			}
+		}
+		if full {
+			continue
+		}
+		for i := range open {
+			shares[i] = amount * weights[i] / sum
+		}
+		break
+	}
+	return shares
+}
