--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -104,6 +104,7 @@
 	tree.Start(duty.Duty{Name: "epochs", Run: i.followEpochs})
 	tree.Start(duty.Duty{Name: "loans", Run: i.shares.ledger.Run})
 	tree.Start(duty.Duty{Name: "steering", Run: i.steer})
+	tree.Start(duty.Duty{Name: "probes", Run: i.probe})
 	tree.Start(duty.Duty{Name: "open-requests", Run: i.requests.dispatcher.Run})
 	tree.Start(duty.Duty{Name: "idempotency-keys", Run: i.requests.claimer.Run})
 	tree.Start(duty.Duty{Name: "caller-server", Run: serve(i.caller, l.caller)})
--- a/core/instance/request.go
+++ b/core/instance/request.go
@@ -72,3 +72,8 @@
 func (i *Instance) steer(ctx context.Context) error {
 	return i.requests.steering.Run(ctx, i.configuration, i.state.Changed)
 }
+
+// probe looks after targets whose last outcome was bad.
+func (i *Instance) probe(ctx context.Context) error {
+	return i.requests.steering.Probe(ctx, i.sender.Probe)
+}
--- a/core/services/steering/grant.go
+++ b/core/services/steering/grant.go
@@ -158,12 +158,9 @@
 			return false
 		}
 	}
-	for i, a := range c.units {
-		if !s.ledger.Acquire(a) {
-			s.returnTokens(c.charges, "")
-			s.rollBack(c.units[:i])
-			return false
-		}
+	if !s.acquire(c) {
+		s.returnTokens(c.charges, "")
+		return false
 	}
 	return true
 }
--- a/core/services/steering/health.go
+++ b/core/services/steering/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,19 +21,23 @@
 	OutcomeSlow
 	// OutcomeShed means that the target refused the request as too much for it.
 	OutcomeShed
+	// OutcomeProbed means that the target answered a probe, which proves less than the answer to a request.
+	OutcomeProbed
 )
 
 // Breaker says when a target that fails is left out, and for how long.
 type Breaker struct {
-	// Threshold is the sum of scores in a row that ejects a target; zero never ejects.
+	// Threshold is the sum of scores in a row that ejects a target; zero keeps no memory of outcomes at all.
 	Threshold float64
+	// Penalty is the cost that each point of a score adds, in units of a fully loaded target.
+	Penalty float64
 	// Cooldown is the first time without new work; it doubles with each further failure up to MaxCooldown.
 	Cooldown, MaxCooldown time.Duration
 }
 
 // DefaultBreaker returns the breaker that instances use.
 func DefaultBreaker() Breaker {
-	return Breaker{Threshold: 3, Cooldown: time.Second, MaxCooldown: 16 * time.Second}
+	return Breaker{Threshold: 3, Penalty: 0.5, Cooldown: time.Second, MaxCooldown: 16 * time.Second}
 }
 
 const (
@@ -40,9 +45,9 @@
 	scoreFailed = 1.0
 	scoreSlow   = 0.5
 	scoreShed   = 0.25
-	// penaltyOfScore turns a score into a cost, in units of a fully loaded target.
-	penaltyOfScore = 0.5
-	// maxPenalty bounds it to less than the distance to another region.
+	// scoreHalfLife is the time in which a score that nothing adds to loses half of its weight.
+	scoreHalfLife = 5 * time.Second
+	// maxPenalty bounds the cost of a score to less than the distance to another region.
 	maxPenalty = 1.5
 )
 
@@ -58,6 +63,8 @@
 // condition is the state of one target whose last outcome was bad.
 type condition struct {
 	score float64
+	// scored is when the score was last changed.
+	scored time.Time
 	// until ends the ejection; zero for a target that was not ejected.
 	until time.Time
 	// cooldown is the length of the last ejection.
@@ -73,7 +80,8 @@
 
 // Report takes the outcome of an attempt that began at the given time.
 func (h *Health) Report(target string, o Outcome, began time.Time) {
-	if _, known := (*h.current.Load())[target]; !known && o == OutcomeAnswered {
+	good := o == OutcomeAnswered || o == OutcomeProbed
+	if h.breaker.Threshold <= 0 || (good && !h.suspects(target)) {
 		return
 	}
 	h.mu.Lock()
@@ -83,9 +91,14 @@
 	if !c.until.IsZero() && began.Before(c.until.Add(-c.cooldown)) {
 		return
 	}
-	if o == OutcomeAnswered {
+	switch o {
+	case OutcomeAnswered:
 		delete(next, target)
-	} else {
+	case OutcomeProbed:
+		if next[target] = c.probed(time.Now()); next[target].score < scoreShed {
+			delete(next, target)
+		}
+	default:
 		next[target] = h.worse(c, o)
 	}
 	h.current.Store(&next)
@@ -109,7 +122,8 @@
 	default:
 		c.score += scoreFailed
 	}
-	if h.breaker.Threshold <= 0 || c.score < h.breaker.Threshold {
+	c.scored = time.Now()
+	if c.score < h.breaker.Threshold {
 		return c
 	}
 	c.cooldown = max(h.breaker.Cooldown, min(2*c.cooldown, h.breaker.MaxCooldown))
@@ -118,27 +132,37 @@
 	return c
 }
 
-// Suspects returns the targets whose last outcome was bad.
-func (h *Health) Suspects() []string {
-	current := *h.current.Load()
-	names := make([]string, 0, len(current))
-	for name := range current {
-		names = append(names, name)
+// probed lets requests try the target again if half of its ejection is over; from then on each probe halves the score.
+func (c condition) probed(now time.Time) condition {
+	if now.Before(c.until.Add(-c.cooldown / 2)) {
+		return c
 	}
-	return names
+	if now.Before(c.until) {
+		c.until = now
+		return c
+	}
+	c.score /= 2
+	return c
+}
+
+// suspects reports whether a target's last outcome was bad.
+func (h *Health) suspects(target string) bool {
+	_, known := (*h.current.Load())[target]
+	return known
 }
 
 // healthView answers for the targets of one service at one moment.
 type healthView struct {
-	conditions map[string]condition
-	now        time.Time
+	conditions     map[string]condition
+	now            time.Time
+	penaltyOfScore float64
 	// ignoreEjections is true if more than half of the targets are ejected: then the fault is more likely here or
 	// everywhere, and leaving them out would help nobody.
 	ignoreEjections bool
 }
 
 func (h *Health) view(service *servicePlan) healthView {
-	v := healthView{conditions: *h.current.Load()}
+	v := healthView{conditions: *h.current.Load(), penaltyOfScore: h.breaker.Penalty}
 	if len(v.conditions) == 0 {
 		return v
 	}
@@ -162,5 +186,6 @@
 	if !ok {
 		return 0, false
 	}
-	return min(c.score*penaltyOfScore, maxPenalty), !v.ignoreEjections && c.until.After(v.now)
+	weight := math.Exp2(-v.now.Sub(c.scored).Seconds() / scoreHalfLife.Seconds())
+	return min(c.score*weight*v.penaltyOfScore, maxPenalty), !v.ignoreEjections && c.until.After(v.now)
 }
--- /dev/null
+++ b/core/services/steering/probe.go
@@ -0,0 +1,75 @@
+package steering
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// probeInterval is the pause between two probes of a target.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = time.Second
+)
+
+// Probe sends probes to the targets whose last outcome was bad, until the context ends. A probe holds the units of an
+// attempt; where none is free it is left out, which says nothing about the target. Targets without bad outcomes are not
+// probed: requests measure them at no cost.
+func (s *Steering) Probe(ctx context.Context, send func(ctx context.Context, address, path string) error) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.probeSuspects(ctx, send)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Steering) probeSuspects(ctx context.Context, send func(ctx context.Context, address, path string) error) {
+	var group sync.WaitGroup
+	for _, service := range s.plan.Load().services {
+		if service.spec.ProbePath == "" {
+			continue
+		}
+		for i := range service.candidates {
+			c := &service.candidates[i]
+			if s.health.suspects(c.target.Name) && s.acquire(c) {
+				group.Go(func() { s.probe(ctx, c, service.spec.ProbePath, send) })
+			}
+		}
+	}
+	group.Wait()
+}
+
+func (s *Steering) probe(
+	ctx context.Context, c *candidate, path string, send func(ctx context.Context, address, path string) error,
+) {
+	defer s.release(c.units)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	began := time.Now()
+	err := send(ctx, c.target.Address, path)
+	switch {
+	case err == nil:
+		s.health.Report(c.target.Name, OutcomeProbed, began)
+	case ctx.Err() != nil:
+		s.health.Report(c.target.Name, OutcomeSlow, began)
+	default:
+		s.health.Report(c.target.Name, OutcomeFailed, began)
+	}
+}
+
+// acquire takes the units of a candidate, or none.
+func (s *Steering) acquire(c *candidate) bool {
+	for i, a := range c.units {
+		if !s.ledger.Acquire(a) {
+			s.rollBack(c.units[:i])
+			return false
+		}
+	}
+	return true
+}
