--- /dev/null
+++ b/core/modules/rendezvous/rendezvous_test.go
@@ -0,0 +1,35 @@
+package rendezvous_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+
+	"medlarpond.dev/core/modules/rendezvous"
+)
+
+// TestOwners checks that keys are spread evenly and that a new member takes over only the keys that it owns.
+func TestOwners(t *testing.T) {
+	const keys, owners = 7000, 3
+	var members []string
+	for n := range 7 {
+		members = append(members, fmt.Sprintf("entry-%d", n))
+	}
+	count := map[string]int{}
+	for n := range keys {
+		key := binary.BigEndian.AppendUint64(nil, uint64(n))
+		before := rendezvous.Owners(key, members[:6], owners)
+		after := rendezvous.Owners(key, members, owners)
+		count[after[0]]++
+		kept := slices.DeleteFunc(slices.Clone(after), func(m string) bool { return m == "entry-6" })
+		if !slices.Equal(kept, before[:len(kept)]) {
+			t.Fatalf("key %d: owners %v became %v", n, before, after)
+		}
+	}
+	for _, m := range members {
+		if count[m] < keys/7*9/10 || count[m] > keys/7*11/10 {
+			t.Errorf("%s owns %d of %d keys, want a seventh", m, count[m], keys)
+		}
+	}
+}
--- a/core/services/dispatch/attempts.go
+++ b/core/services/dispatch/attempts.go
@@ -27,7 +27,7 @@
 )
 
 // errHeaderTimeout ends an attempt whose answer is late while another target may still answer in time.
-var errHeaderTimeout = errors.New("no answer in the attempt's part of the time")
+var errHeaderTimeout = errors.New("the answer is late for this service")
 
 // attempts tries targets until one answers or no further attempt is permitted. Once an attempt may have run, the refusal
 // says so, whatever became of later ones.
@@ -96,6 +96,7 @@
 		return nil, d.shed(ctx, c, try{grant: grant, began: began, decisive: decisive})
 	}
 	d.health.Report(grant.Target.Name, steering.OutcomeAnswered, began)
+	d.latencies.add(c.route.Service, time.Since(began))
 	if decisive {
 		d.report(ctx, c, crash.EventSurvived)
 	}
@@ -110,12 +111,17 @@
 	return &Result{Response: response, Target: grant.Target.Name, Deadline: c.deadline, release: release}, nil
 }
 
-// headerTimer ends an attempt that may be repeated after half of the time that is left.
+// headerTimer ends an attempt that may be repeated when its answer is late for the service, if another attempt then has
+// as much time again. Services whose answers usually take long are left alone.
 func (d *Dispatcher) headerTimer(c *call, cancel context.CancelCauseFunc) *time.Timer {
 	if !c.idempotent || !c.body.replayable() {
 		return nil
 	}
-	return time.AfterFunc(time.Until(c.deadline)/2, func() { cancel(errHeaderTimeout) })
+	late, known := d.latencies.late(c.route.Service)
+	if !known || 2*late > time.Until(c.deadline) {
+		return nil
+	}
+	return time.AfterFunc(late, func() { cancel(errHeaderTimeout) })
 }
 
 // try is an attempt that gave no answer.
--- a/core/services/dispatch/dispatch.go
+++ b/core/services/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 	// instances returns the number of instances that share the targets' connections.
 	instances func() int
 	budgets   *budgets
+	latencies *latencies
 	open      *openCalls
 }
 
@@ -78,7 +79,7 @@
 	return &Dispatcher{
 		state: p.State, steering: p.Steering, health: p.Health, sender: p.Sender, claimer: p.Claimer, guard: p.Guard,
 		logger: p.Logger, confirmed: p.Confirmed, instances: p.Instances,
-		budgets: newBudgets(), open: newOpenCalls(),
+		budgets: newBudgets(), latencies: newLatencies(), open: newOpenCalls(),
 	}
 }
 
--- a/core/services/steering/health_test.go
+++ b/core/services/steering/health_test.go
@@ -131,6 +131,7 @@
 			})
 		}()
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if len(probed) != 0 {
 			t.Fatalf("probed %v, although nothing is suspected", probed)
 		}
@@ -141,6 +142,7 @@
 		}
 		b.health.Report("t2", steering.OutcomeFailed, time.Now())
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if len(probed) != 0 {
 			t.Fatalf("probed %v, although no slot is free", probed)
 		}
@@ -148,6 +150,7 @@
 			b.ledger.Release(account)
 		}
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if want := []string{"192.0.2.2:80", "192.0.2.2:80", "192.0.2.2:80"}; !slices.Equal(probed, want) {
 			t.Errorf("probed %v, want three probes of the suspect until it is cleared", probed)
 		}
--- a/core/services/steering/limits.go
+++ b/core/services/steering/limits.go
@@ -13,13 +13,16 @@
 	burstFraction = 0.1
 	// minRateFraction keeps a small cap from being burst only.
 	minRateFraction = 0.5
+	// holdMargin is how long after its request's deadline a unit may still be in use, by a caller that reads slowly or a
+	// target that has yet to learn of a cancellation.
+	holdMargin = 2 * time.Second
 )
 
 // Limits returns what a configuration permits the whole fleet: the limit of every account. An account that is missing
 // permits nothing.
 func Limits(s resource.Snapshot) map[share.Account]share.Limit {
 	limits := map[share.Account]share.Limit{}
-	hold := longestRequest(s)
+	hold := longestRequest(s) + holdMargin
 	for _, r := range s.List(resource.KindTeam) {
 		t := r.Spec.(resource.Team)
 		limits[share.Account{Kind: share.KindTeam, Name: r.Name}] = share.Limit{Rate: t.Rate, Burst: t.Burst}
@@ -38,7 +41,7 @@
 		service := r.Spec.(resource.Service)
 		for _, t := range s.TargetsOf(r.Name) {
 			limits[share.Account{Kind: share.KindTarget, Name: t.Name}] = share.Limit{
-				Units: t.Slots, Hold: time.Duration(service.RequestTimeout), Region: t.Region,
+				Units: t.Slots, Hold: time.Duration(service.RequestTimeout) + holdMargin, Region: t.Region,
 			}
 		}
 	}
