Refuse requests that carry different keys, and find keys in more places

Cause: of two different keys one reached the target; so did a key after a scheme in lower case on an open route, after a semicolon in the query, and as the method. Change: different keys are refused as malformed; the scheme counts in any case; the others are stripped or refused.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 # Runs each native fuzz target for FUZZTIME; a crasher is kept under testdata as a seed.
 FUZZTIME ?= 20s
 FUZZ := core/settings:FuzzParse core/models/resource:FuzzResource core/services/configuration:FuzzRecord \
-	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources
+	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources core/services/dispatch:FuzzKey
 
 fuzz:
 	for f in $(FUZZ); do go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) -parallel 4 ./$${f%:*} || exit 1; done
--- /dev/null
+++ b/core/proof/caller_test.go
@@ -0,0 +1,164 @@
+package proof_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// callBound is how long a caller waits before it calls the answer missing; every request must end by itself long before.
+const callBound = 10 * time.Second
+
+// plannedRequest is one request of a caller with the faults that it will meet.
+type plannedRequest struct {
+	// service is desk, with sound and broken targets; mixed, with one of each; or dead, with broken ones only.
+	service string
+	method  string
+	// body is nil for a request without one.
+	body []byte
+	// chunked sends the body with unknown length.
+	chunked bool
+	// idempotencyKey is sent if it is not empty.
+	idempotencyKey bool
+	// impatient callers name a timeout shorter than late targets take.
+	impatient bool
+	// abandoned callers leave without waiting for the answer.
+	abandoned bool
+	faults    []fault
+}
+
+func (p plannedRequest) idempotent() bool {
+	return p.method == http.MethodGet || p.method == http.MethodHead
+}
+
+// genRequest draws requests; every second one meets no fault.
+func genRequest() *rapid.Generator[plannedRequest] {
+	return rapid.Custom(func(t *rapid.T) plannedRequest {
+		p := plannedRequest{
+			service:        rapid.SampledFrom([]string{"desk", "desk", "desk", "mixed", "dead"}).Draw(t, "service"),
+			method:         rapid.SampledFrom([]string{"GET", "GET", "POST", "POST", "PUT", "DELETE"}).Draw(t, "method"),
+			idempotencyKey: rapid.Bool().Draw(t, "idempotency-key"),
+			impatient:      rapid.IntRange(0, 9).Draw(t, "impatient") == 0,
+			abandoned:      rapid.IntRange(0, 19).Draw(t, "abandoned") == 0,
+		}
+		if size := rapid.SampledFrom([]int{-1, 0, 10, 10, 40_000}).Draw(t, "size"); size >= 0 && p.method != http.MethodGet {
+			p.body = []byte(strings.Repeat("b", size))
+			p.chunked = rapid.Bool().Draw(t, "chunked")
+		}
+		if rapid.Bool().Draw(t, "faulty") {
+			p.faults = rapid.SliceOfN(rapid.SampledFrom(allFaults()), 1, 4).Draw(t, "faults")
+		}
+		return p
+	})
+}
+
+// head returns the request's head as it is sent.
+func (p plannedRequest) head(id string) string {
+	var b strings.Builder
+	plan := make([]string, 0, len(p.faults)+1)
+	for _, f := range p.faults {
+		plan = append(plan, string(f))
+	}
+	plan = append(plan, string(faultNone))
+	_, _ = fmt.Fprintf(&b, "%s /%s/%s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n", p.method, p.service, id, testKey)
+	_, _ = fmt.Fprintf(&b, "%s: %s\r\n", planHeader, strings.Join(plan, ","))
+	if p.idempotencyKey {
+		_, _ = fmt.Fprintf(&b, "Idempotency-Key: key-%s\r\n", id)
+	}
+	if p.impatient {
+		_, _ = fmt.Fprintf(&b, "Request-Timeout: %.3f\r\n", (lateness / 2).Seconds())
+	}
+	switch {
+	case p.body != nil && p.chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case p.body != nil:
+		_, _ = fmt.Fprintf(&b, "Content-Length: %d\r\n", len(p.body))
+	}
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+// payload returns the request's body as it is sent.
+func (p plannedRequest) payload() string {
+	if p.body == nil || !p.chunked {
+		return string(p.body)
+	}
+	if len(p.body) == 0 {
+		return "0\r\n\r\n"
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(p.body), p.body)
+}
+
+// outcome is what a caller saw.
+type outcome struct {
+	// status is zero for a broken answer or none.
+	status int
+	body   string
+	notRun bool
+	err    error
+}
+
+// caller keeps one connection to an instance and never sends a request twice.
+type caller struct {
+	address    string
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+func (c *caller) close() {
+	if c.connection != nil {
+		_ = c.connection.Close()
+		c.connection = nil
+	}
+}
+
+// call sends a request and reads its answer. A failed call closes the connection.
+func (c *caller) call(p plannedRequest, id string) outcome {
+	if c.connection == nil {
+		connection, err := net.DialTimeout("tcp", c.address, callBound)
+		if err != nil {
+			return outcome{err: err}
+		}
+		c.connection, c.reader = connection, bufio.NewReader(connection)
+	}
+	_ = c.connection.SetDeadline(time.Now().Add(callBound))
+	if _, err := io.WriteString(c.connection, p.head(id)+p.payload()); err != nil {
+		c.close()
+		return outcome{err: err}
+	}
+	if p.abandoned {
+		c.close()
+		return outcome{err: io.EOF}
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: p.method})
+	if err != nil {
+		c.close()
+		return outcome{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.Close {
+		c.close()
+	}
+	if err != nil {
+		return outcome{err: err}
+	}
+	return outcome{status: response.StatusCode, body: string(body), notRun: saysNotRun(response, body)}
+}
+
+// saysNotRun reports whether an answer claims, in its header or its body, that the request was not run.
+func saysNotRun(response *http.Response, body []byte) bool {
+	var wire struct {
+		Error struct {
+			NotRun bool `json:"not-run"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(body, &wire)
+	return wire.Error.NotRun || response.Header.Get("Medlarpond-Not-Run") == "true"
+}
--- /dev/null
+++ b/core/proof/keys_test.go
@@ -0,0 +1,203 @@
+package proof_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"medlarpond.dev/core/models/resource"
+)
+
+// otherKey is a second key of the same team, for requests that carry two.
+const otherKey = "another-key-of-the-tests-Qx7"
+
+// recorder keeps all bytes that were written to it.
+type recorder struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (r *recorder) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.content.Write(b)
+}
+
+// take returns what was written since the last call.
+func (r *recorder) take() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.content.Reset()
+	return r.content.String()
+}
+
+// startRecordingTarget starts a target that answers every request and records every byte that it receives.
+func startRecordingTarget(t *testing.T, received io.Writer) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go record(c, received)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func record(c net.Conn, received io.Writer) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(io.TeeReader(c, received))
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if !write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+			return
+		}
+	}
+}
+
+// TestKeyStaysInside sends requests with the key in every place where a caller may put it, well-formed or not, and
+// checks that neither a target nor a log, a metric, the status, the history or an answer shows it.
+func TestKeyStaysInside(t *testing.T) {
+	var received, logged recorder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&logged), zapcore.DebugLevel)
+	hash := resource.HashKey(otherKey)
+	b := startBench(t, zap.New(core), append(baseResources(),
+		resource.Resource{Kind: resource.KindKey, Name: "k2", Spec: resource.Key{Team: "lawns", Hash: hex.EncodeToString(hash[:])}},
+		targetResource("desk", "desk-1", startRecordingTarget(t, &received)),
+	))
+	for _, route := range []string{"/desk", "/open"} {
+		for _, test := range keyPlaces() {
+			t.Run(strings.TrimPrefix(route, "/")+"/"+test.name, func(t *testing.T) {
+				answer := b.raw(t, strings.ReplaceAll(test.request, "ROUTE", route))
+				checkNoKey(t, "the answer", answer)
+				checkNoKey(t, "the target's request", received.take())
+				if test.reaches && !strings.HasPrefix(answer, "HTTP/1.1 200") {
+					t.Errorf("the request was not served: %.200q", answer)
+				}
+			})
+		}
+	}
+	for _, path := range []string{"/metrics", "/v1/status", "/v1/history", "/v1/resources/key"} {
+		_, content := b.operator(t, http.MethodGet, path, nil)
+		checkNoKey(t, path, content)
+	}
+	checkNoKey(t, "the log", logged.take())
+}
+
+// keyPlace is a raw request with a key somewhere.
+type keyPlace struct {
+	name    string
+	request string
+	// reaches is true for a request that must be served on a keyed route too.
+	reaches bool
+}
+
+func keyPlaces() []keyPlace {
+	const bearer = "Authorization: Bearer " + testKey + "\r\n"
+	escaped := fmt.Sprintf("%%%02x%s", testKey[0], testKey[1:])
+	basic := base64.StdEncoding.EncodeToString([]byte("user:" + testKey))
+	get := func(uri, headers string) string { return "GET " + uri + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" }
+	chunked := "POST ROUTE HTTP/1.1\r\nHost: h\r\n" + bearer + "Transfer-Encoding: chunked\r\n"
+	return []keyPlace{
+		{"bearer", get("ROUTE", bearer), true},
+		{"bearer in lower case", get("ROUTE", "authorization: bearer "+testKey+"\r\n"), true},
+		{"header", get("ROUTE", "Medlarpond-Key: "+testKey+"\r\n"), true},
+		{"query parameter", get("ROUTE?a=1&medlarpond-key="+testKey+"&b=2", ""), true},
+		{"escaped query parameter", get("ROUTE?medlarpond%2Dkey="+testKey, bearer), true},
+		{"escaped key in the query", get("ROUTE?x="+escaped, bearer), true},
+		{"key in another parameter", get("ROUTE?x="+testKey, bearer), true},
+		{"key as a parameter's name", get("ROUTE?"+testKey, bearer), true},
+		{"key after a semicolon", get("ROUTE?a=1;medlarpond-key="+testKey, bearer), true},
+		{"only key after a semicolon", get("ROUTE?a=1;medlarpond-key="+testKey, ""), false},
+		{"key in the path", get("ROUTE/"+testKey+"/x", bearer), false},
+		{"escaped key in the path", get("ROUTE/"+escaped, bearer), false},
+		{"key as user information", "GET http://" + testKey + "@h/" + "desk HTTP/1.1\r\nHost: h\r\n" + bearer + "\r\n", false},
+		{"two keys", get("ROUTE", bearer+"Medlarpond-Key: "+otherKey+"\r\n"), true},
+		{"two keys, one in the query", get("ROUTE?medlarpond-key="+otherKey, bearer), true},
+		{"bearer twice", get("ROUTE", bearer+"Authorization: Bearer "+otherKey+"\r\n"), false},
+		{"header twice", get("ROUTE", "Medlarpond-Key: "+testKey+"\r\nMedlarpond-Key: "+otherKey+"\r\n"), true},
+		{"cookie", get("ROUTE", bearer+"Cookie: a=1; k="+testKey+"; b=2\r\n"), true},
+		{"referer", get("ROUTE", bearer+"Referer: http://h/desk?medlarpond-key="+testKey+"\r\n"), true},
+		{"basic credentials", get("ROUTE", "Medlarpond-Key: "+testKey+"\r\nAuthorization: Basic "+basic+"\r\n"), true},
+		{"header's name", get("ROUTE", bearer+testKey+": 1\r\n"), true},
+		{"host", "GET ROUTE HTTP/1.1\r\nHost: " + testKey + "\r\n" + bearer + "\r\n", true},
+		{"hop-by-hop list", get("ROUTE", bearer+"Connection: x-a, "+testKey+"\r\n"), true},
+		{"announced trailer", chunked + "Trailer: Medlarpond-Key, X-Sum\r\n\r\n2\r\nab\r\n0\r\nMedlarpond-Key: " + testKey + "\r\nX-Sum: " + testKey + "\r\n\r\n", true},
+		{"trailer", chunked + "\r\n2\r\nab\r\n0\r\nX-Sum: " + testKey + "\r\n\r\n", true},
+		{"wrong version", "GET ROUTE HTTP/9.9\r\nHost: h\r\n" + bearer + "\r\n", false},
+		{"method", testKey + " ROUTE HTTP/1.1\r\nHost: h\r\n" + bearer + "\r\n", false},
+		{"unknown path", get("/"+url.PathEscape(testKey), bearer), false},
+		{"look-up", get("/medlarpond/v1/lookup?service="+testKey, bearer), false},
+	}
+}
+
+// raw sends a request as it is on a new connection and returns what comes back.
+func (b *bench) raw(t *testing.T, request string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", b.settings.Listen.Caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(callBound))
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer bytes.Buffer
+	if err := response.Write(&answer); err != nil {
+		return err.Error()
+	}
+	return answer.String()
+}
+
+// checkNoKey fails if a text holds a key, plain, escaped or in basic credentials, in upper or lower case.
+func checkNoKey(t *testing.T, where, text string) {
+	t.Helper()
+	decoded, err := url.PathUnescape(text)
+	if err != nil {
+		decoded = text
+	}
+	for _, key := range []string{testKey, otherKey} {
+		for _, form := range []string{text, decoded} {
+			if i := strings.Index(strings.ToLower(form), strings.ToLower(key)); i >= 0 {
+				t.Errorf("%s shows the key: %q", where, form[max(0, i-60):min(len(form), i+60)])
+				return
+			}
+		}
+	}
+	if strings.Contains(text, base64.StdEncoding.EncodeToString([]byte("user:"+testKey))) {
+		t.Errorf("%s shows the key in basic credentials", where)
+	}
+}
--- a/core/services/dispatch/dispatch.go
+++ b/core/services/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -164,7 +165,11 @@
 	if !ok {
 		return nil, refusal.New(http.StatusNotFound, refusal.NoRoute, "the service of this route does not exist")
 	}
-	c := &call{request: r, view: view, route: route, service: service, key: presentedKey(r)}
+	keys := presentedKeys(r)
+	if len(keys) > 1 {
+		return nil, refusal.New(http.StatusBadRequest, refusal.Malformed, "the request carries different keys")
+	}
+	c := &call{request: r, view: view, route: route, service: service, key: strings.Join(keys, "")}
 	c.idempotent = isIdempotent(service, r.Method)
 	c.deadline = time.Now().Add(c.timeout())
 	if c.key != "" {
@@ -206,8 +211,8 @@
 	if c.request.Header.Get("Upgrade") != "" || c.request.Method == http.MethodConnect {
 		return refusal.New(http.StatusNotImplemented, refusal.UpgradeRefused, "connection upgrades are not supported")
 	}
-	if c.containsKey(c.request.URL.EscapedPath()) {
-		return refusal.New(http.StatusBadRequest, refusal.Malformed, "the path contains the key")
+	if c.containsKey(c.request.URL.EscapedPath()) || c.containsKey(c.request.Method) {
+		return refusal.New(http.StatusBadRequest, refusal.Malformed, "the path or the method contains the key")
 	}
 	return nil
 }
--- a/core/services/dispatch/key.go
+++ b/core/services/dispatch/key.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
-	"net/url"
+	"slices"
 	"strings"
 
 	"medlarpond.dev/core/models/resource"
@@ -16,7 +16,7 @@
 	// keyHeader and keyParameter are where a caller may put its key besides the Authorization header.
 	keyHeader    = "Medlarpond-Key"
 	keyParameter = "medlarpond-key"
-	bearerPrefix = "Bearer "
+	bearerScheme = "Bearer"
 	basicPrefix  = "Basic "
 	// maxDecodings bounds how often a value may be percent-encoded and still be recognized.
 	maxDecodings = 3
@@ -24,18 +24,24 @@
 	connectionsPerInstance = 4
 )
 
-// presentedKey returns the key that came with a request; empty if none did.
-func presentedKey(r *http.Request) string {
-	if key := r.Header.Get(keyHeader); key != "" {
-		return key
-	}
-	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix); ok {
-		return key
+// presentedKeys returns the different keys that came with a request, the one that counts first.
+func presentedKeys(r *http.Request) []string {
+	presented := slices.Clone(r.Header[keyHeader])
+	for _, value := range r.Header["Authorization"] {
+		if scheme, key, ok := strings.Cut(value, " "); ok && strings.EqualFold(scheme, bearerScheme) {
+			presented = append(presented, strings.TrimSpace(key))
+		}
 	}
 	if strings.Contains(r.URL.RawQuery, keyParameter) {
-		return r.URL.Query().Get(keyParameter)
+		presented = append(presented, r.URL.Query()[keyParameter]...)
+	}
+	var keys []string
+	for _, key := range presented {
+		if key != "" && !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
 	}
-	return ""
+	return keys
 }
 
 // attempt builds the request for a target, without the key and without what concerns one connection only.
@@ -152,8 +158,7 @@
 }
 
 func (c *call) parameterCarriesKey(part string) bool {
-	name, _, _ := strings.Cut(part, "=")
-	if decoded, err := url.QueryUnescape(name); err == nil && decoded == keyParameter {
+	if decoded := decodePercent(part); decoded == keyParameter || strings.Contains(decoded, keyParameter+"=") {
 		return true
 	}
 	return c.containsKey(part)
