--- a/core/proof/bench_test.go
+++ b/core/proof/bench_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -142,5 +141,5 @@
 			return
 		}
 	}
-	t.Fatal(fmt.Sprintf("not %s within %s", what, readyBound))
+	t.Fatalf("not %s within %s", what, readyBound)
 }
