Send a failed region's requests where there is room, before targets that may be dead

Cause: where most of a service is ejected nothing is left out, and an ejected near target cost less than a healthy far one.

Change: an ejected target that is not left out costs more than any distance. A test fails the region with most targets and checks shift, capacity, fairness and refusals. A queue is found without a lock.

--- a/core/services/steering/admit.go
+++ b/core/services/steering/admit.go
@@ -40,7 +40,7 @@
 	if timeLeft(ctx) < MinAttemptTime {
 		return nil, deadlineTooShort()
 	}
-	q := s.queueOf(d.Service)
+	q := service.queue
 	if q.length.Load() == 0 {
 		grant, short := s.try(service, d.Team, d.Excluded)
 		if grant != nil {
--- a/core/services/steering/health.go
+++ b/core/services/steering/health.go
@@ -49,6 +49,8 @@
 	scoreHalfLife = 5 * time.Second
 	// maxPenalty bounds the cost of a score to less than the distance to another region.
 	maxPenalty = 1.5
+	// ejectedPenalty is the cost of an ejected target that may not be left out; it is more than any distance.
+	ejectedPenalty = 4.0
 )
 
 // Health judges targets by the outcomes of attempts and probes.
@@ -186,6 +188,9 @@
 	if !ok {
 		return 0, false
 	}
+	if c.until.After(v.now) {
+		return ejectedPenalty, !v.ignoreEjections
+	}
 	weight := math.Exp2(-v.now.Sub(c.scored).Seconds() / scoreHalfLife.Seconds())
-	return min(c.score*weight*v.penaltyOfScore, maxPenalty), !v.ignoreEjections && c.until.After(v.now)
+	return min(c.score*weight*v.penaltyOfScore, maxPenalty), false
 }
--- a/core/services/steering/health_test.go
+++ b/core/services/steering/health_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,3 +157,57 @@
 		}
 	})
 }
+
+// TestRegionFailure checks that when most targets of a service die with their region, the other region takes what capacity
+// and shift permit, fairly among teams, and the rest is refused as not run.
+func TestRegionFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(append(basic(),
+			named(resource.KindService, "desk", resource.Service{RequestTimeout: seconds(5), QueueTimeout: seconds(0.1)}),
+			named(resource.KindShift, "move", resource.Shift{Service: "desk", From: "r1", To: "r2", Cap: 40}))...)
+		time.Sleep(time.Second)
+		var mu sync.Mutex
+		served := map[string]int{}
+		running, total := 0, 0
+		for n := range 2000 {
+			time.Sleep(5 * time.Millisecond)
+			team := []string{"late", "riders"}[n%2]
+			go func() {
+				grant, refused := b.admit(time.Second, team)
+				if grant == nil {
+					if !refused.NotRun {
+						t.Errorf("refused as %v", refused)
+					}
+					return
+				}
+				began := time.Now()
+				if grant.Target.Region == "r1" {
+					b.health.Report(grant.Target.Name, steering.OutcomeFailed, began)
+					grant.NotRun()
+					return
+				}
+				mu.Lock()
+				if running++; running > 3 {
+					t.Errorf("%d requests run in the other region at once", running)
+				}
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+				mu.Lock()
+				running--
+				total++
+				served[team]++
+				mu.Unlock()
+				b.health.Report(grant.Target.Name, steering.OutcomeAnswered, began)
+				grant.Ran()
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		if total > 40*11 || total < 40*10*8/10 {
+			t.Errorf("%d requests were served in 10 s by a shift of 40 a second", total)
+		}
+		if served["late"] < total/4 {
+			t.Errorf("served %v, want at least a quarter for the team with a third of the weight", served)
+		}
+	})
+}
--- a/core/services/steering/plan.go
+++ b/core/services/steering/plan.go
@@ -23,8 +23,9 @@
 
 // servicePlan lists the targets that may serve a service.
 type servicePlan struct {
-	name string
-	spec resource.Service
+	name  string
+	spec  resource.Service
+	queue *queue
 	// candidates are sorted so that nearer targets come first.
 	candidates []candidate
 }
--- a/core/services/steering/steering.go
+++ b/core/services/steering/steering.go
@@ -91,7 +91,11 @@
 	s.growing = s.ramps.apply(limits, c.Snapshot, now)
 	s.ledger.SetLimits(limits)
 	if isNew {
-		s.plan.Store(newPlan(c.Snapshot, c.Revision, s.place))
+		p := newPlan(c.Snapshot, c.Revision, s.place)
+		for name, service := range p.services {
+			service.queue = s.queueOf(name)
+		}
+		s.plan.Store(p)
 	}
 }
 
@@ -111,9 +115,8 @@
 	}
 }
 
+// queueOf returns the queue of a service; s.mu must be held.
 func (s *Steering) queueOf(service string) *queue {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	q, ok := s.queues[service]
 	if !ok {
 		q = newQueue(s, service)
