Forget the outcomes of targets that are taken away

Cause: a target that was removed and added again kept its score, and scores of removed targets were kept for good. Change: a new configuration drops them. Conclusion: memory is bounded by the targets that exist.

--- a/core/services/steering/health_test.go
+++ b/core/services/steering/health_test.go
@@ -211,3 +211,27 @@
 		}
 	})
 }
+
+// TestRemovedTarget checks that a target that is taken away and added again starts without its bad outcomes.
+func TestRemovedTarget(t *testing.T) {
+	b := newBench(basic()...)
+	for range 3 {
+		b.health.Report("t1", steering.OutcomeFailed, time.Now())
+	}
+	choose := func() string {
+		grant, refused := b.admit(time.Second, "")
+		if refused != nil {
+			t.Fatal(refused)
+		}
+		defer grant.Ran()
+		return grant.Target.Name
+	}
+	if got := choose(); got != "t2" {
+		t.Errorf("got %s, want the next target while t1 is ejected", got)
+	}
+	b.put(slices.DeleteFunc(basic(), func(r resource.Resource) bool { return r.Name == "t1" })...)
+	b.put(basic()...)
+	if got := choose(); got != "t1" {
+		t.Errorf("got %s, want t1 again", got)
+	}
+}
--- a/core/services/steering/steering.go
+++ b/core/services/steering/steering.go
@@ -96,6 +96,10 @@
 			service.queue = s.queueOf(name)
 		}
 		s.plan.Store(p)
+		s.health.Retain(func(target string) bool {
+			_, ok := c.Snapshot.Get(resource.KindTarget, target)
+			return ok
+		})
 	}
 }
 
