Work out the capacity of each role from measured slopes

medlarpond-bench slopes runs fleets of 3 to 30 instances and measures store calls, payload bytes (from the kernel's counts of each connection), processor time and memory at rest and for each change.

A look-up names at most 16 instances; with 3,100 it would name all of them.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := bench core entry mpctl standin trial
 GOLANGCI_VERSION := v2.15.0
 
-.PHONY: build fmt fmt-check lint vet test tools tidy mutants count fuzz soak
+.PHONY: slopes build fmt fmt-check lint vet test tools tidy mutants count fuzz soak
 
 build:
 	go build -o bin/ ./bench ./entry ./mpctl ./standin ./trial
@@ -54,3 +54,10 @@
 
 soak:
 	go test -timeout 2h $(SOAK) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
+# Measures again what docs/CAPACITY.md is worked out from.
+slopes:
+	go test -run '^$$' -bench . -count 3 ./core/modules/prefix ./core/models/resource
+	go test -run '^$$' -bench 'Image|Apply' -count 3 ./core/services/configuration
+	go test -run '^$$' -bench 'Fleet|Nearest' -count 3 ./core/services/membership
+	go run ./bench slopes --runs 3
--- a/bench/main.go
+++ b/bench/main.go
@@ -45,6 +45,10 @@
 	_, _ = parser.AddCommand("path", "measure what an instance adds to a request",
 		"Sends requests to a target directly and through an instance, in turns, and compares latency, throughput and allocations.",
 		&pathCommand{program: p})
+	_, _ = parser.AddCommand("slopes", "measure how control costs grow with the fleet",
+		"Runs fleets of several sizes in this process and measures, at rest and for each change, store calls, payload bytes, "+
+			"processor time and memory.",
+		&slopesCommand{program: p})
 	_, _ = parser.AddCommand("load", "send a mix of requests by a schedule",
 		"Sends the requests of a plan when they are due, whatever became of earlier ones; a late start counts into latency. "+
 			"Causes the plan's faults meanwhile and reports latencies, refusals and failures by team and service.",
--- a/core/instance/locate.go
+++ b/core/instance/locate.go
@@ -9,8 +9,12 @@
 	"medlarpond.dev/core/routers/caller"
 )
 
-// clientParameter names the client for whom a resolver asks.
-const clientParameter = "client"
+const (
+	// clientParameter names the client for whom a resolver asks.
+	clientParameter = "client"
+	// maxLocated bounds the instances in an answer.
+	maxLocated = 16
+)
 
 // locate answers a look-up with the instances that are nearest to the client.
 func (i *Instance) locate(r *http.Request, service string) (caller.Located, *refusal.Refusal) {
@@ -24,8 +28,9 @@
 	}
 	region, failureDomain := i.placeOf(snapshot, client)
 	i.refreshSelf()
+	nearest := i.table.Nearest(region, failureDomain)
 	return caller.Located{
-		Instances: i.table.Nearest(region, failureDomain),
+		Instances: nearest[:min(len(nearest), maxLocated)],
 		TTL:       i.settings.Requests.LookupTTL,
 	}, nil
 }
--- a/core/standin/fleet/fleet.go
+++ b/core/standin/fleet/fleet.go
@@ -56,12 +56,18 @@
 
 // Fleet is a fleet that can be run once.
 type Fleet struct {
-	plan   Plan
-	logger *zap.Logger
+	plan     Plan
+	logger   *zap.Logger
+	platform *standinplatform.Platform
 }
 
 // New returns a fleet that follows the plan.
-func New(p Plan, logger *zap.Logger) *Fleet { return &Fleet{plan: p, logger: logger} }
+func New(p Plan, logger *zap.Logger) *Fleet {
+	return &Fleet{plan: p, logger: logger, platform: standinplatform.New()}
+}
+
+// StoreCalls returns the number of calls that the platform has had, a waiting watch counted as one.
+func (f *Fleet) StoreCalls() uint64 { return f.platform.Calls() }
 
 // Run starts the fleet, writes the resources, calls ready, and serves until the context ends.
 func (f *Fleet) Run(ctx context.Context, ready func()) error {
@@ -70,7 +76,7 @@
 	defer stopAround()
 	group, ctx := errgroup.WithContext(ctx)
 	outer, _ := errgroup.WithContext(around)
-	outer.Go(func() error { return serve(around, f.plan.Platform, standinplatform.New()) })
+	outer.Go(func() error { return serve(around, f.plan.Platform, f.platform) })
 	for _, r := range f.plan.Resources {
 		if spec, ok := r.Spec.(resource.Target); ok {
 			handler := target.New(r.Name, int64(spec.Slots), f.plan.Work)
