Report the faults of settings in one order

Cause: found by a golden file: the three listen addresses were checked in the random order of a map. Change: a list.

--- a/core/settings/listen.go
+++ b/core/settings/listen.go
@@ -14,11 +14,13 @@
 
 func (l Listen) check(c *checker) {
 	const fix = "is missing or impossible; write an IP number and a port, such as 127.0.0.1:7001"
-	for setting, address := range map[string]string{
-		"listen.caller": l.Caller, "listen.operator": l.Operator, "listen.peer": l.Peer,
+	for _, listener := range []struct{ setting, address string }{
+		{"listen.caller", l.Caller},
+		{"listen.operator", l.Operator},
+		{"listen.peer", l.Peer},
 	} {
-		_, err := netip.ParseAddrPort(address)
-		c.require(err == nil, setting, fix)
+		_, err := netip.ParseAddrPort(listener.address)
+		c.require(err == nil, listener.setting, fix)
 	}
 	c.require(l.Caller != l.Operator && l.Operator != l.Peer && l.Caller != l.Peer || l.Caller == "",
 		"listen", "the three addresses must differ")
