--- a/core/instance/fleet.go
+++ b/core/instance/fleet.go
@@ -45,7 +45,7 @@
 	s := i.settings
 	f := fleet{
 		registrar:    membership.NewRegistrar(i.store, i.logger),
-		confirmation: membership.NewConfirmation(),
+		confirmation: membership.NewConfirmation(i.state),
 		pool:         peer.NewPool(),
 		incarnation:  uint64(time.Now().UnixNano()),
 	}
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -73,6 +73,7 @@
 	i.lifecycle.Store(membership.StateStarting)
 	i.fleet = i.newFleet()
 	i.reader = i.newReader()
+	i.meter.Gauge("medlarpond_exchange_bytes", func() float64 { return float64(i.fleet.pool.Traffic()) })
 	i.shares = i.newShares(func() { i.requests.steering.Notify() })
 	i.requests = i.newRequests()
 	i.caller = i.server(i.track(caller.New(i.requests.dispatcher, i.locate, i.meter, logger)))
@@ -80,6 +81,7 @@
 	writer.Contact = i.fleet.exchanger.InContact
 	router := operator.New(state, writer, i.status, i.meter, logger)
 	router.InForce = i.fleet.exchanger.InForce
+	router.Gone = i.fleet.registration.Gone
 	i.operator = i.server(router)
 	return i
 }
--- a/core/modules/peer/peer.go
+++ b/core/modules/peer/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,8 @@
 // Client calls one peer. It dials when first used and again after a connection has failed or gone silent.
 type Client struct {
 	address string
+	// traffic counts the bytes of the connections; nil for none.
+	traffic *atomic.Int64
 
 	mu sync.Mutex
 	// connection is nil until the next call dials.
@@ -91,6 +94,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.traffic != nil {
+		raw = &counted{Conn: raw, traffic: c.traffic}
+	}
 	c.connection = rpc.NewClient(raw)
 	return c.connection, nil
 }
--- a/core/modules/peer/pool.go
+++ b/core/modules/peer/pool.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +15,28 @@
 	mu sync.Mutex
 	// clients is keyed by address and holds at most maxClients.
 	clients map[string]*pooled
+	// traffic counts the bytes that the connections of all clients have sent and received.
+	traffic atomic.Int64
+}
+
+// counted is a connection whose bytes are counted.
+type counted struct {
+	net.Conn
+	traffic *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Add(int64(n))
+	return n, err
 }
 
 type pooled struct {
@@ -32,13 +56,16 @@
 		if len(p.clients) >= maxClients {
 			p.evict()
 		}
-		c = &pooled{client: NewClient(address)}
+		c = &pooled{client: &Client{address: address, traffic: &p.traffic}}
 		p.clients[address] = c
 	}
 	c.used = time.Now()
 	return c.client
 }
 
+// Traffic returns the bytes that all connections have sent and received.
+func (p *Pool) Traffic() int64 { return p.traffic.Load() }
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/core/routers/operator/operator.go
+++ b/core/routers/operator/operator.go
@@ -36,6 +36,8 @@
 	// InForce waits until a revision is in force at most seats, and returns whether it is and the instances at which it is
 	// not known to be; nil means that there are no others.
 	InForce func(ctx context.Context, revision uint64) (bool, []string)
+	// Gone counts the process of an instance as ended; nil means that there are no others.
+	Gone func(ctx context.Context, id string) error
 
 	state  *configuration.State
 	writer *configuration.Writer
@@ -59,6 +61,8 @@
 	t.mux.HandleFunc("GET /v1/history", t.history)
 	t.mux.HandleFunc("GET /v1/changes/{id}", t.change)
 	t.mux.HandleFunc("GET /v1/status", t.showStatus)
+	t.mux.HandleFunc("POST /v1/restore", t.restore)
+	t.mux.HandleFunc("POST /v1/members/{id}/gone", t.gone)
 	t.mux.HandleFunc("GET /healthz", t.health)
 	t.mux.HandleFunc("GET /readyz", t.ready)
 	t.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { m.Write(w) })
--- a/core/services/configuration/reader.go
+++ b/core/services/configuration/reader.go
@@ -176,6 +176,13 @@
 	for {
 		asked := time.Now()
 		v := r.state.View()
+		if v.Revision == 0 {
+			// The first changes may be archived already.
+			if err := r.load(ctx); err != nil {
+				return err
+			}
+			v = r.state.View()
+		}
 		if err := r.check(ctx, v); err != nil {
 			return err
 		}
@@ -187,6 +194,10 @@
 		if err != nil {
 			return err
 		}
+		// A key that was archived may have been created again by a write that came late; then the one before is gone.
+		if err := r.check(ctx, v); err != nil {
+			return err
+		}
 		if err := r.apply(entry); err != nil {
 			return err
 		}
--- a/core/services/configuration/state.go
+++ b/core/services/configuration/state.go
@@ -135,6 +135,21 @@
 	return slices.Clone(records), nil
 }
 
+// ChainAt returns the chain of a revision in force, and false if it is not held.
+func (s *State) ChainAt(revision uint64) (Chain, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view.Load()
+	if revision == v.Revision {
+		return v.Chain, true
+	}
+	oldest := v.Revision - uint64(len(s.history))
+	if revision > v.Revision || revision <= oldest {
+		return "", false
+	}
+	return s.history[revision-oldest-1].Chain, true
+}
+
 // Find returns the change with the given identifier, if it is still held.
 func (s *State) Find(id string) (Record, bool) {
 	s.mu.Lock()
--- a/core/services/configuration/writer.go
+++ b/core/services/configuration/writer.go
@@ -187,16 +187,18 @@
 	return &ErrStoreUnavailable{Cause: err}
 }
 
-// checkArchived makes sure that the key which was created had not been removed before as archived: then another change
-// has had the revision.
+// checkArchived makes sure that a key which was created or found had not been removed before as archived: then another
+// change has had the revision. Keys are removed in their order, so one that is not older than the oldest never was.
 func (w *Writer) checkArchived(ctx context.Context, r Record) (Record, error) {
 	for {
 		h, _, err := readHead(ctx, w.store)
-		if err == nil && h.Revision < r.Revision {
+		if err == nil && h.Oldest <= r.Revision {
 			return r, nil
 		}
 		if err == nil {
-			return Record{}, w.discard(ctx, r, h)
+			// It may have been applied and archived since, or it came too late; either way the key is not needed.
+			w.discard(ctx, r)
+			return Record{}, &ErrUnknown{ID: r.ID}
 		}
 		if !wait(ctx, retryInterval) {
 			return Record{}, &ErrUnknown{ID: r.ID}
@@ -204,12 +206,11 @@
 	}
 }
 
-// discard removes a key that came too late.
-func (w *Writer) discard(ctx context.Context, r Record, h head) error {
+// discard removes a key that is older than the oldest.
+func (w *Writer) discard(ctx context.Context, r Record) {
 	if entry, err := w.store.Get(ctx, logKey(r.Revision)); err == nil && chainOf(entry.Value) == r.Chain {
 		_ = w.store.Delete(ctx, logKey(r.Revision), entry.Version)
 	}
-	return &ErrTooFarBehind{Have: r.Revision - 1, Oldest: h.Oldest}
 }
 
 // resolve learns the outcome of a write whose answer was lost. While the key does not exist the write may still be
--- a/core/services/membership/confirmation.go
+++ b/core/services/membership/confirmation.go
@@ -4,11 +4,15 @@
 	"slices"
 	"sync"
 	"time"
+
+	"medlarpond.dev/core/services/configuration"
 )
 
 // Confirmation tells since when this instance can have missed nothing: the time at which it sent a question to which
 // the store, most seats, or an instance that is itself confirmed has answered.
 type Confirmation struct {
+	state *configuration.State
+
 	mu sync.Mutex
 	// store is when the last question was sent to which the store answered.
 	store time.Time
@@ -28,21 +32,32 @@
 
 // answered is the time of a question and what the answerer had in force.
 type answered struct {
-	asked              time.Time
-	revision, sequence uint64
+	asked time.Time
+	position
+	// chain is the start of the chain of the revision.
+	chain string
 }
 
-// position is what this instance has in force.
+// position is a revision and the sequence of a fleet record.
 type position struct {
 	revision, sequence uint64
 }
 
-func (p position) reaches(a answered) bool {
-	return p.revision >= a.revision && p.sequence >= a.sequence
+// holding is what this instance has in force.
+type holding struct {
+	position
+	// has reports whether a revision with a chain is in force here.
+	has func(revision uint64, chain string) bool
 }
 
-// NewConfirmation returns a confirmation without any contact.
-func NewConfirmation() *Confirmation { return &Confirmation{seats: map[string]evidence{}} }
+func (h holding) reaches(a answered) bool {
+	return h.revision >= a.revision && h.sequence >= a.sequence && h.has(a.revision, a.chain)
+}
+
+// NewConfirmation returns a confirmation without any contact, of an instance with the given state.
+func NewConfirmation(state *configuration.State) *Confirmation {
+	return &Confirmation{state: state, seats: map[string]evidence{}}
+}
 
 // Store notes that the store has answered a question, and that what it held was in force.
 func (c *Confirmation) Store(asked time.Time) {
@@ -58,41 +73,46 @@
 	return c.store
 }
 
-// Answered notes that a process has answered a question, and what it had in force.
-func (c *Confirmation) Answered(process string, asked time.Time, revision, sequence uint64) {
+// Answered notes that a peer has answered a question, and what it had in force.
+func (c *Confirmation) Answered(m Message, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seats[process] = c.seats[process].with(answered{asked: asked, revision: revision, sequence: sequence})
-}
-
-// Relayed notes that a peer was itself confirmed as of the given time or later.
-func (c *Confirmation) Relayed(asOf time.Time, revision, sequence uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.relayed = c.relayed.with(answered{asked: asOf, revision: revision, sequence: sequence})
+	a := answered{asked: asked, position: m.position(), chain: m.Chain}
+	c.seats[m.From.Process()] = c.seats[m.From.Process()].with(a)
+	if m.From.Confirmed {
+		a.asked = asked.Add(-m.Age)
+		c.relayed = c.relayed.with(a)
+	}
 }
 
 // applied lets pending answers count that this instance has caught up with.
-func (c *Confirmation) applied(p position) {
+func (c *Confirmation) applied(f Fleet) {
+	h := holding{position: position{revision: c.state.View().Revision, sequence: f.Sequence}, has: c.has}
 	for process, e := range c.seats {
-		c.seats[process] = e.counted(p)
+		c.seats[process] = e.counted(h)
 	}
-	c.relayed = c.relayed.counted(p)
+	c.relayed = c.relayed.counted(h)
+}
+
+// has reports whether a revision with a chain is in force here; one that is too old to tell counts.
+func (c *Confirmation) has(revision uint64, chain string) bool {
+	have, ok := c.state.ChainAt(revision)
+	return !ok || prefixOf(have) == chain
 }
 
 // Since returns the time as of which this instance has missed nothing; zero if it never had contact.
-func (c *Confirmation) Since(f Fleet, self string, revision uint64) time.Time {
+func (c *Confirmation) Since(f Fleet, self string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return later(c.store, c.byPeers(f, self, revision))
+	return later(c.store, c.byPeers(f, self))
 }
 
 // ByPeers returns the time as of which this instance has missed nothing, without what the store has told it itself: that
 // of most seats of every open epoch, or of a confirmed peer.
-func (c *Confirmation) ByPeers(f Fleet, self string, revision uint64) time.Time {
+func (c *Confirmation) ByPeers(f Fleet, self string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.byPeers(f, self, revision)
+	return c.byPeers(f, self)
 }
 
 // Forget drops what processes outside the fleet record have answered.
@@ -108,13 +128,13 @@
 	c.seats = kept
 }
 
-func (c *Confirmation) byPeers(f Fleet, self string, revision uint64) time.Time {
-	c.applied(position{revision: revision, sequence: f.Sequence})
-	return later(c.relayed.asked, c.bySeats(f, self, revision))
+func (c *Confirmation) byPeers(f Fleet, self string) time.Time {
+	c.applied(f)
+	return later(c.relayed.asked, c.bySeats(f, self))
 }
 
-func (c *Confirmation) bySeats(f Fleet, self string, revision uint64) time.Time {
-	if revision < f.Revision {
+func (c *Confirmation) bySeats(f Fleet, self string) time.Time {
+	if c.state.View().Revision < f.Revision {
 		return time.Time{}
 	}
 	now := time.Now()
@@ -157,8 +177,8 @@
 	return e
 }
 
-func (e evidence) counted(p position) evidence {
-	if p.reaches(e.pending) {
+func (e evidence) counted(h holding) evidence {
+	if h.reaches(e.pending) {
 		e.asked = later(e.asked, e.pending.asked)
 	}
 	return e
--- a/core/services/membership/exchanger.go
+++ b/core/services/membership/exchanger.go
@@ -117,12 +117,12 @@
 
 // Confirmed reports whether this instance has had contact within the confirm timeout.
 func (x *Exchanger) Confirmed() bool {
-	return x.within(x.Confirmation.Since(x.Registrar.Fleet(), x.Self().Process(), x.State.View().Revision))
+	return x.within(x.Confirmation.Since(x.Registrar.Fleet(), x.Self().Process()))
 }
 
 // InContact reports whether peers alone, without the store, confirm this instance.
 func (x *Exchanger) InContact() bool {
-	return x.within(x.Confirmation.ByPeers(x.Registrar.Fleet(), x.Self().Process(), x.State.View().Revision))
+	return x.within(x.Confirmation.ByPeers(x.Registrar.Fleet(), x.Self().Process()))
 }
 
 // Diverged reports whether a peer at the same revision has another history.
@@ -243,8 +243,8 @@
 			return
 		}
 		x.take(answer, asked)
-		x.credit(answer, asked)
-		now, theirs := x.position(), position{revision: answer.From.Revision, sequence: answer.Sequence}
+		x.Confirmation.Answered(answer, asked)
+		now, theirs := x.position(), answer.position()
 		x.learn(address, theirs)
 		gained := now.revision > before.revision && now.revision < theirs.revision
 		owed := now.revision > theirs.revision || now.sequence > theirs.sequence
@@ -257,22 +257,14 @@
 // Answer answers a peer's question.
 func (x *Exchanger) Answer(q Message) Message {
 	x.take(q, time.Now())
-	x.learn(q.From.Peer, position{revision: q.From.Revision, sequence: q.Sequence})
-	return x.message(position{revision: q.From.Revision, sequence: q.Sequence})
-}
-
-// credit counts an answer as contact.
-func (x *Exchanger) credit(a Message, asked time.Time) {
-	x.Confirmation.Answered(a.From.Process(), asked, a.From.Revision, a.Sequence)
-	if a.From.Confirmed {
-		x.Confirmation.Relayed(asked.Add(-a.Age), a.From.Revision, a.Sequence)
-	}
+	x.learn(q.From.Peer, q.position())
+	return x.message(q.position())
 }
 
 // message describes this instance to a peer that has what the position says.
 func (x *Exchanger) message(theirs position) Message {
 	f, v := x.Registrar.Fleet(), x.State.View()
-	since := x.Confirmation.Since(f, x.Self().Process(), v.Revision)
+	since := x.Confirmation.Since(f, x.Self().Process())
 	m := Message{
 		From: x.self(), Chain: prefixOf(v.Chain), Sequence: f.Sequence, Epoch: f.Epoch, Settled: x.Settled(),
 		Age: max(time.Since(since), 0),
--- a/core/services/membership/fleet.go
+++ b/core/services/membership/fleet.go
@@ -131,12 +131,11 @@
 	return f.Without(id, incarnation).withEnded(true, func(s Seat) bool { return s.ID == id && s.Incarnation <= incarnation })
 }
 
-// WithGone returns a record that lacks the named members and counts their processes as ended, as an operator has said.
-func (f Fleet) WithGone(ids []string) Fleet {
-	named := func(id string) bool { return slices.Contains(ids, id) }
+// WithGone returns a record that lacks the named member and counts its processes as ended, as an operator has said.
+func (f Fleet) WithGone(id string) Fleet {
 	next := f
-	next.Members = slices.DeleteFunc(slices.Clone(f.Members), func(m Registered) bool { return named(m.ID) })
-	return f.reseated(next).withEnded(false, func(s Seat) bool { return named(s.ID) })
+	next.Members = slices.DeleteFunc(slices.Clone(f.Members), func(m Registered) bool { return m.ID == id })
+	return f.reseated(next).withEnded(false, func(s Seat) bool { return s.ID == id })
 }
 
 // WithClosed returns a record in which the open sets that the function selects are closed; the revision covers all that
--- a/core/services/membership/message.go
+++ b/core/services/membership/message.go
@@ -23,6 +23,11 @@
 	Digest bool
 }
 
+// position returns what the sender has.
+func (m Message) position() position {
+	return position{revision: m.From.Revision, sequence: m.Sequence}
+}
+
 // Other is a member as a seat sees it.
 type Other struct {
 	Member Member
--- a/core/services/membership/network_test.go
+++ b/core/services/membership/network_test.go
@@ -89,7 +89,7 @@
 	}
 	table := membership.NewTable()
 	d.registrar = membership.NewRegistrar(store, zap.NewNop())
-	confirmation := membership.NewConfirmation()
+	confirmation := membership.NewConfirmation(d.state)
 	d.exchanger = membership.NewExchanger(membership.Parts{
 		Table: table, Registrar: d.registrar, Confirmation: confirmation,
 		Epochs: membership.NewEpochs(testConfirmTimeout), Silence: membership.NewSilence(), State: d.state,
@@ -358,3 +358,19 @@
 		}
 	})
 }
+
+// TestNoWitness checks that of two members which do not hear each other neither removes the other.
+func TestNoWitness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		first := n.start("i0", 1, "r0-a")
+		second := n.start("i1", 1, "r1-a")
+		time.Sleep(5 * time.Second)
+		second.cut.Store(true)
+		time.Sleep(15 * time.Second)
+		if f := first.registrar.Fleet(); len(f.Members) != 2 || f.Epoch != 2 {
+			t.Errorf("%d members, epoch %d", len(f.Members), f.Epoch)
+		}
+	})
+}
--- a/core/services/membership/registration.go
+++ b/core/services/membership/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -213,3 +214,11 @@
 		return f.Without(self.ID, self.Incarnation), true
 	})
 }
+
+// Gone takes an operator's word that the process of a member, or of a seat of an earlier epoch, has ended.
+func (r *Registration) Gone(ctx context.Context, id string) error {
+	return r.Registrar.Change(ctx, func(f Fleet) (Fleet, bool) {
+		next := f.WithGone(id)
+		return next, !reflect.DeepEqual(next, f)
+	})
+}
--- a/core/services/membership/take.go
+++ b/core/services/membership/take.go
@@ -27,17 +27,24 @@
 	if !ok {
 		return
 	}
-	if m.Sequence > f.Sequence {
-		// What it has in force counts only together with the record that it knows.
+	agrees := x.agrees(m)
+	if m.Sequence > f.Sequence || !agrees {
+		// What it has in force counts only together with the record that it knows, and as part of the history here.
 		from.Revision = 0
 	}
 	x.Table.Observe(from, heard)
 	x.compare(m)
-	if seat, ok := f.Member(from.ID); ok && seat.Seat && m.Sequence == f.Sequence {
+	if seat, ok := f.Member(from.ID); ok && seat.Seat && agrees && m.Sequence == f.Sequence {
 		x.takeOthers(f, m, heard)
 	}
 }
 
+// agrees reports whether what the sender has in force is part of the history here.
+func (x *Exchanger) agrees(m Message) bool {
+	chain, ok := x.State.ChainAt(m.From.Revision)
+	return ok && prefixOf(chain) == m.Chain
+}
+
 func (x *Exchanger) takeFleet(m Message) {
 	if len(m.Fleet) == 0 {
 		return
--- a/core/standin/platform/platform.go
+++ b/core/standin/platform/platform.go
@@ -115,6 +115,13 @@
 	return p.calls
 }
 
+// Keys returns the number of keys held.
+func (p *Platform) Keys() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.entries)
+}
+
 // Save copies the state.
 func (p *Platform) Save() State {
 	p.mu.Lock()
--- a/mpctl/api/client.go
+++ b/mpctl/api/client.go
@@ -172,7 +172,7 @@
 	Replaced int    `json:"replaced"`
 }
 
-type wireRestore struct {
+type wireAction struct {
 	Actor               string `json:"actor"`
 	Reason              string `json:"reason"`
 	ReplaceOtherHistory bool   `json:"replace-other-history,omitempty"`
@@ -182,10 +182,17 @@
 func (c *Client) Restore(ctx context.Context, a Author, replace bool) (Restored, error) {
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
-	body := wireRestore{Actor: a.Actor, Reason: a.Reason, ReplaceOtherHistory: replace}
+	body := wireAction{Actor: a.Actor, Reason: a.Reason, ReplaceOtherHistory: replace}
 	return exchange[Restored](ctx, c, http.MethodPost, "/v1/restore", body)
 }
 
+// Gone says that the process of an instance has certainly ended.
+func (c *Client) Gone(ctx context.Context, a Author, instance string) error {
+	body := wireAction{Actor: a.Actor, Reason: a.Reason}
+	_, err := call[struct{}](ctx, c, http.MethodPost, "/v1/members/"+url.PathEscape(instance)+"/gone", body)
+	return err
+}
+
 // errFound ends a watch that has found what it looked for.
 var errFound = errors.New("found")
 
--- a/mpctl/help.go
+++ b/mpctl/help.go
@@ -61,6 +61,13 @@
 
 Examples:
   mpctl delete route hours -m 'the office is closed'`
+	goneHelp = `Says that the process of an instance has certainly ended. It is only needed when
+most instances have ended at once and others run in their place under other
+addresses: until then the new ones use only the portions that cannot be in use.
+Never say it of an instance that may still run.
+
+Examples:
+  mpctl gone entry-4 -m 'machine was dismantled'`
 	rollbackHelp = `Makes a new change that gives a resource the value that it had before an
 earlier change: what the change created is deleted, what it deleted is
 created, and what it updated gets its previous value. Later changes of the
@@ -118,6 +125,7 @@
 		{"set", "change fields of a resource", setHelp, &setCommand{program: p}},
 		{"delete", "delete a resource", deleteHelp, &deleteCommand{program: p}},
 		{"rollback", "undo a change by a new one", rollbackHelp, &rollbackCommand{program: p}},
+		{"gone", "say that an instance has ended", goneHelp, &goneCommand{program: p}},
 		{"watch", "follow changes", watchHelp, &watchCommand{program: p}},
 		{"history", "show past changes", historyHelp, &historyCommand{program: p}},
 		{"status", "show the state of the fleet", statusHelp, &statusCommand{program: p}},
