--- a/bench/path/load.go
+++ b/bench/path/load.go
@@ -14,7 +14,8 @@
 
 // load is a fixed number of callers that send one request after the other.
 type load struct {
-	url       string
+	// urls are used in turn, each by the same callers.
+	urls      []string
 	callers   int
 	transport *http.Transport
 
@@ -24,9 +25,13 @@
 	mallocs uint64
 }
 
-func newLoad(address string, callers int) *load {
+func newLoad(callers int, addresses ...string) *load {
+	urls := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		urls = append(urls, "http://"+address+route)
+	}
 	return &load{
-		url: "http://" + address + route, callers: callers,
+		urls: urls, callers: callers,
 		transport: &http.Transport{MaxIdleConnsPerHost: callers, DisableCompression: true},
 	}
 }
@@ -45,7 +50,7 @@
 	before := mallocs()
 	started := time.Now()
 	for i := range l.callers {
-		wait.Go(func() { samples[i], errors[i] = l.call(ctx, started.Add(d)) })
+		wait.Go(func() { samples[i], errors[i] = l.call(ctx, l.urls[i%len(l.urls)], started.Add(d)) })
 	}
 	wait.Wait()
 	l.elapsed += time.Since(started)
@@ -57,10 +62,10 @@
 }
 
 // call is one caller; it returns the latencies of whole answers and the number of failures.
-func (l *load) call(ctx context.Context, until time.Time) (samples []time.Duration, failed int) {
+func (l *load) call(ctx context.Context, url string, until time.Time) (samples []time.Duration, failed int) {
 	for time.Now().Before(until) && ctx.Err() == nil {
 		started := time.Now()
-		if err := l.request(ctx); err != nil {
+		if err := l.request(ctx, url); err != nil {
 			failed++
 			continue
 		}
@@ -75,8 +80,8 @@
 // Error implements error.
 func (errStatus) Error() string { return "unexpected status" }
 
-func (l *load) request(ctx context.Context) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+func (l *load) request(ctx context.Context, url string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
--- a/bench/path/path.go
+++ b/bench/path/path.go
@@ -1,4 +1,4 @@
-// Package path measures what the path through an instance adds to a direct request to the same target.
+// Package path measures what the path through an instance adds to a direct request to the same targets.
 package path
 
 import (
@@ -80,8 +80,8 @@
 func measureAll(ctx context.Context, s Settings, p planned) ([]Result, error) {
 	results := make([]Result, 0, len(s.Callers))
 	for _, callers := range s.Callers {
-		direct := newLoad(p.target, callers)
-		through := newLoad(p.entry, callers)
+		direct := newLoad(callers, p.targets...)
+		through := newLoad(callers, p.entry)
 		for _, l := range []*load{direct, through} {
 			l.run(ctx, warmUp)
 			l.reset()
