Refuse connections at a port that no other test can take

Cause: TestAnswers failed once in two full runs: a port that was free at its start was an instance of another test later, whose answers (no route, not run) were judged as ours. Change: a fixed port at which nothing listens.

--- a/core/proof/answers_test.go
+++ b/core/proof/answers_test.go
@@ -17,6 +17,8 @@
 	callers = 16
 	// maxBatch is the number of requests in a check.
 	maxBatch = 80
+	// refusing is an address at which nothing listens; a port that was merely free may be taken by another test.
+	refusing = "127.0.0.1:1"
 )
 
 // call is one request with what became of it.
@@ -34,9 +36,9 @@
 	j := newJournal()
 	b := startBench(t, zap.NewNop(), append(baseResources(),
 		targetResource("desk", "desk-1", startTarget(t, j)), targetResource("desk", "desk-2", startTarget(t, j)),
-		targetResource("desk", "desk-3", startTarget(t, j)), targetResource("desk", "desk-4", freeAddress(t)),
+		targetResource("desk", "desk-3", startTarget(t, j)), targetResource("desk", "desk-4", refusing),
 		targetResource("desk", "desk-5", startResetter(t)), targetResource("mixed", "mixed-1", startTarget(t, j)),
-		targetResource("mixed", "mixed-2", freeAddress(t)), targetResource("dead", "dead-1", freeAddress(t)),
+		targetResource("mixed", "mixed-2", refusing), targetResource("dead", "dead-1", refusing),
 	))
 	var seen tally
 	batch := 0
