Serve spread demand of small teams: whole tokens for seats, tokens passed to who waits

Cause: run as seven instances (examples/load-spread-sonargaon.yaml), the team with rate 20 and burst 5 got 2 of 534 requests. Each seat owned 0.7 tokens and kept them. Besides, an instance that skipped an epoch of the fleet record owned nothing until activation. Ruled out: the queue and the rate itself; with all demand at one instance the team is served. Change: a rate is dealt to as many seats as leave each one whole token; a lender where nobody waits passes tokens for 60 ms and takes back what is reported unneeded; a changed burst is bounded by all totals of the last 10 s, a moved account by all its regions; an instance that skips epochs is bounded by those that the record calls open.

--- a/core/instance/share.go
+++ b/core/instance/share.go
@@ -26,7 +26,7 @@
 	s := &shares{ledger: share.NewLedger(notify), pool: peer.NewPool()}
 	s.ledger.Confirmed = i.sharesConfirmed
 	s.ledger.Ask = i.askLoan
-	s.ledger.SetEpoch(share.Epoch{}, i.self().Process())
+	s.ledger.SetEpoch(share.Epoch{}, nil, i.self().Process())
 	if err := peerrouter.RegisterShare(i.peers, s.ledger.Lend); err != nil {
 		i.logger.Error("cannot register the calls about loans", zap.Error(err))
 	}
@@ -53,14 +53,22 @@
 
 func (i *Instance) adoptEpoch() {
 	f := i.fleet.registrar.Fleet()
-	epoch := share.Epoch{Number: f.Epoch}
-	for _, s := range f.Seats() {
-		epoch.Seats = append(epoch.Seats, share.Seat{ID: s.Process(), Region: s.Region})
+	open := make([]share.Epoch, 0, len(f.Open))
+	for _, set := range f.Open {
+		open = append(open, shareEpoch(set.Epoch, set.Seats))
 	}
-	i.shares.ledger.SetEpoch(epoch, i.self().Process())
+	i.shares.ledger.SetEpoch(shareEpoch(f.Epoch, f.Seats()), open, i.self().Process())
 	i.shares.adopted.Store(f.Epoch)
 }
 
+func shareEpoch(number uint64, seats []membership.Seat) share.Epoch {
+	e := share.Epoch{Number: number}
+	for _, s := range seats {
+		e.Seats = append(e.Seats, share.Seat{ID: s.Process(), Region: s.Region})
+	}
+	return e
+}
+
 // settledEpoch returns the latest epoch within whose portions this instance stays.
 func (i *Instance) settledEpoch() uint64 {
 	if adopted := i.shares.adopted.Load(); i.shares.ledger.Settled(adopted) {
--- a/core/services/share/borrow.go
+++ b/core/services/share/borrow.go
@@ -21,6 +21,8 @@
 	wantTerm = 250 * time.Millisecond
 	// wantFactor is how much more is asked of all lenders together than is wanted, as some will have nothing.
 	wantFactor = 2
+	// waitingTerm is how long after a refused take its request is taken to wait.
+	waitingTerm = 25 * time.Millisecond
 	// missTerm is how long a refused take makes questions urgent.
 	missTerm = 100 * time.Millisecond
 	// demandHeadroom is the factor between the estimate of demand and what is asked for.
@@ -60,6 +62,9 @@
 	sent    time.Time
 }
 
+// expires returns when the loans of the answer end; they count from the sending of the question.
+func (q question) expires() time.Time { return q.sent.Add(loanTerm) }
+
 // Run asks the other processes for loans until the context ends.
 func (l *Ledger) Run(ctx context.Context) error {
 	timer := time.NewTimer(0)
@@ -187,7 +192,7 @@
 		return true
 	}
 	for _, r := range l.rates {
-		if now.Sub(r.missed.updated) < missTerm && r.missed.rate > 0 {
+		if r.missing(missTerm, now) {
 			return true
 		}
 	}
@@ -254,9 +259,11 @@
 	r.reclaim(now)
 	h, holding := r.holdings[seat]
 	need := r.desire(now).minus(r.portion.minus(r.lent).atLeast(allowance{})).atLeast(allowance{})
-	if !holding && need == (allowance{}) {
+	unneeded := r.unneeded[seat]
+	if !holding && need == (allowance{}) && unneeded == 0 {
 		return RateQuestion{}, false
 	}
+	delete(r.unneeded, seat)
 	var held allowance
 	if holding {
 		held = h.allowance
@@ -269,8 +276,13 @@
 	if holding && !held.within(share) {
 		held, level = r.reduce(seat, share, now)
 	}
+	var waiting int64
+	if r.lacks(now) {
+		waiting = min(r.largest, r.total.burst)
+	}
 	return RateQuestion{
-		NeedRate: share.rate, NeedBurst: share.burst, HeldRate: held.rate, HeldBurst: held.burst, Level: level,
+		NeedRate: share.rate, NeedBurst: share.burst, HeldRate: held.rate, HeldBurst: held.burst,
+		Waiting: waiting, Unneeded: unneeded, Level: level,
 	}, true
 }
 
--- a/core/services/share/demand_bench_test.go
+++ b/core/services/share/demand_bench_test.go
@@ -14,6 +14,10 @@
 	benchTick = time.Millisecond
 	// benchWait is how long a request may wait for its token before it counts as refused.
 	benchWait = 50 * time.Millisecond
+	// smallTeam is a team whose burst is less than one token for each seat.
+	smallTeam = 7
+	// counted is the time over which requests are counted.
+	counted = 10 * time.Second
 	// adapting is the time after which a change of demand should be served.
 	adapting = time.Second
 )
@@ -40,6 +44,8 @@
 	counting          bool
 	wrongful, offered int
 	excess, admitted  int
+	// offeredBy and admittedBy count like offered and admitted, by team.
+	offeredBy, admittedBy map[share.Account]int
 }
 
 type fairBucket struct {
@@ -51,8 +57,11 @@
 	limits := map[share.Account]share.Limit{}
 	for n := range 8 {
 		limit := share.Limit{Rate: 40, Burst: 10}
-		if n < 2 {
+		switch {
+		case n < 2:
 			limit = share.Limit{Rate: 300, Burst: 60}
+		case n == smallTeam:
+			limit = share.Limit{Rate: 20, Burst: 5}
 		}
 		limits[benchTeam(n)] = limit
 	}
@@ -67,7 +76,8 @@
 	limits := benchTeams()
 	b := &bench{
 		method: m, world: newWorld(1, network{near: near, far: 12 * time.Millisecond}, time.Second, limits),
-		fair:    map[share.Account]*fairBucket{},
+		fair:      map[share.Account]*fairBucket{},
+		offeredBy: map[share.Account]int{}, admittedBy: map[share.Account]int{},
 		waiting: map[*instance]map[share.Account][]time.Time{}, due: map[*instance]map[share.Account]float64{},
 	}
 	for a, limit := range limits {
@@ -119,6 +129,7 @@
 		if arrives {
 			b.waiting[i][a] = append(b.waiting[i][a], time.Now())
 			b.offered += map[bool]int{true: 1}[b.counting]
+			b.offeredBy[a] += map[bool]int{true: 1}[b.counting]
 		}
 		for len(b.waiting[i][a]) > 0 && b.admit(i, a) {
 			b.waiting[i][a] = b.waiting[i][a][1:]
@@ -144,6 +155,7 @@
 		b.fair[a].level = max(b.fair[a].level, 0)
 	}
 	b.admitted += map[bool]int{true: 1}[b.counting]
+	b.admittedBy[a] += map[bool]int{true: 1}[b.counting]
 	return true
 }
 
@@ -184,6 +196,12 @@
 		}
 		return home(0.8)(instance, team, elapsed)
 	}
+	greedySmall := func(instance, team int, elapsed time.Duration) float64 {
+		if team == smallTeam {
+			return 4 * rateOf(smallTeam) / 7
+		}
+		return spread(0.8)(instance, team, elapsed)
+	}
 	survivors := func(part float64, lost int) load {
 		return func(instance, team int, elapsed time.Duration) float64 {
 			if team%7 == lost {
@@ -199,6 +217,7 @@
 		{"spread-95", spread(0.95), nil},
 		{"moving-80", moving, nil},
 		{"greedy-team", greedy, nil},
+		{"greedy-small-team", greedySmall, nil},
 		{"instance-lost", survivors(0.8, 0), func(b *bench) { b.end(b.instances[0]); b.reseat() }},
 		{"store-down-instance-lost", survivors(0.8, 0), func(b *bench) { b.end(b.instances[0]) }},
 		{"holder-paused", survivors(0.8, 0), func(b *bench) {
@@ -236,16 +255,29 @@
 		}
 		w.run(adapting, s.load)
 		w.counting = true
-		w.run(10*time.Second, s.load)
+		w.run(counted, s.load)
 		violations = len(w.oracle.check()) + w.excess
 		w.close()
 	})
 	b.ReportMetric(100*float64(w.wrongful)/float64(max(w.offered, 1)), "wrongful-%")
 	b.ReportMetric(100*float64(w.admitted)/float64(max(w.offered, 1)), "admitted-%")
+	b.ReportMetric(w.worstTeam(), "worst-team-%")
 	b.ReportMetric(float64(violations), "violations")
 	b.ReportMetric(0, "ns/op")
 }
 
+// worstTeam returns the least part of what a team offered or its rate permits, whichever is less, that was admitted.
+func (b *bench) worstTeam() float64 {
+	worst := 100.0
+	for a, limit := range benchTeams() {
+		due := min(float64(b.offeredBy[a]), limit.Rate*counted.Seconds())
+		if due > 0 {
+			worst = min(worst, 100*float64(b.admittedBy[a])/due)
+		}
+	}
+	return worst
+}
+
 // inVirtualTime runs a function in a bubble, for which a test is needed.
 func inVirtualTime(run func()) {
 	testing.RunTests(func(_, _ string) (bool, error) { return true, nil }, []testing.InternalTest{{
--- a/core/services/share/epoch.go
+++ b/core/services/share/epoch.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// minBurst is the least burst that a seat owns, if it owns any, in parts of tokens.
+const minBurst = nanosPerToken
+
 // Seat is the right of one process to a portion of every limit.
 type Seat struct {
 	// ID names one process for its whole life and is never used by another one, not even by its successor.
@@ -35,8 +38,9 @@
 }
 
 // SetEpoch adopts an epoch: from now on this process uses no more than the smaller of its old and its new portions.
-// An epoch that is not newer than the current one is ignored.
-func (l *Ledger) SetEpoch(e Epoch, self string) {
+// open holds the earlier epochs whose portions some process may still use; of those between the last one adopted and
+// this one, the ones that it lacks must have ended. An epoch that is not newer than the current one is ignored.
+func (l *Ledger) SetEpoch(e Epoch, open []Epoch, self string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := &l.reign
@@ -46,11 +50,12 @@
 	if g.settled {
 		g.earlier = nil
 	}
-	if e.Number > g.current.Number+1 {
-		// Nothing is known of the epochs in between, so this process owns nothing until activation.
-		g.earlier = append(g.earlier, Epoch{})
-	}
 	g.earlier = append(g.earlier, g.current)
+	for _, between := range open {
+		if between.Number > g.current.Number && between.Number < e.Number {
+			g.earlier = append(g.earlier, between)
+		}
+	}
 	g.self, g.current = self, e
 	g.activated, g.settled = time.Time{}, false
 	l.deal(time.Now())
@@ -138,26 +143,47 @@
 	return g.settled || now.Sub(g.activated) >= lenderTerm+hold
 }
 
+// allowance deals a rate. A team's falls to as many seats as leave each at least minBurst tokens of burst, so that none
+// owns a fraction that no request can use.
 func (e Epoch) allowance(self string, a Account, total allowance) allowance {
-	return allowance{rate: e.part(self, a, total.rate, ""), burst: e.part(self, a, total.burst, "")}
+	seats := int64(len(e.Seats))
+	if a.Kind == KindTeam {
+		seats = min(seats, seatsFor(total.burst))
+	}
+	rank := rankOf(self, a, e.Seats)
+	return allowance{rate: partOf(total.rate, rank, seats), burst: partOf(total.burst, rank, seats)}
 }
 
+// seatsFor returns the number of seats to which a team's burst is dealt if there are as many.
+func seatsFor(burst int64) int64 { return max(burst/minBurst, 1) }
+
 // part deals a total to the seats in the order of their hashes and returns what one seat gets. It never shrinks when
 // the total grows, so processes that know different totals never own more together than the largest of them.
 func (e Epoch) part(self string, a Account, total int64, region string) int64 {
 	seats := e.eligible(region)
-	own := slices.IndexFunc(seats, func(s Seat) bool { return s.ID == self })
-	if own < 0 {
+	return partOf(total, rankOf(self, a, seats), int64(len(seats)))
+}
+
+// partOf returns the part of a total that falls to one of count seats; a seat with a rank below zero gets nothing.
+func partOf(total, rank, count int64) int64 {
+	if rank < 0 || rank >= count {
 		return 0
 	}
+	return (total + count - 1 - rank) / count
+}
+
+// rank returns the place of one process among the seats in the order of their hashes for an account; -1 if it has none.
+func rankOf(self string, a Account, seats []Seat) int64 {
+	if !slices.ContainsFunc(seats, func(s Seat) bool { return s.ID == self }) {
+		return -1
+	}
 	rank := int64(0)
 	for _, s := range seats {
 		if s.ID != self && compareSeats(a, s.ID, self) < 0 {
 			rank++
 		}
 	}
-	count := int64(len(seats))
-	return (total + count - 1 - rank) / count
+	return rank
 }
 
 // eligible returns the seats in a region, or all if it has none.
--- a/core/services/share/epoch_test.go
+++ b/core/services/share/epoch_test.go
@@ -27,7 +27,7 @@
 			sum, most := 0, 0
 			for _, id := range ids {
 				l := share.NewLedger(func() {})
-				l.SetEpoch(epochOf(1, ids...), id)
+				l.SetEpoch(epochOf(1, ids...), nil, id)
 				l.SetLimits(map[share.Account]share.Limit{account: {Units: total, Region: region}})
 				if free := l.Free(account); free != 0 {
 					t.Errorf("%s owns %d before activation", id, free)
@@ -51,25 +51,28 @@
 	tests := []struct {
 		name   string
 		second share.Epoch
+		open   []share.Epoch
 		// before, after and later are the free units after adoption, after activation and after the hold.
 		settled              bool
 		before, after, later int
 	}{
-		{"fewer seats, all settled", epochOf(2, "a", "b"), true, 4, 6, 6},
-		{"fewer seats, one silent", epochOf(2, "a", "b"), false, 4, 4, 6},
-		{"more seats", epochOf(2, "a", "b", "c", "d"), true, 3, 3, 3},
-		{"epochs in between are unknown", epochOf(4, "a", "b"), true, 0, 6, 6},
-		{"without a seat", epochOf(2, "b", "c"), true, 0, 0, 0},
-		{"an older epoch", epochOf(1, "a"), true, 4, 4, 4},
+		{"fewer seats, all settled", epochOf(2, "a", "b"), nil, true, 4, 6, 6},
+		{"fewer seats, one silent", epochOf(2, "a", "b"), nil, false, 4, 4, 6},
+		{"more seats", epochOf(2, "a", "b", "c", "d"), nil, true, 3, 3, 3},
+		{"epochs in between have ended", epochOf(4, "a", "b"), nil, true, 4, 6, 6},
+		{"an epoch in between is open", epochOf(4, "a", "b"), []share.Epoch{epochOf(2, "b", "c"), epochOf(3, "a")}, true, 0, 6, 6},
+		{"an open epoch has more seats", epochOf(3, "a", "b"), []share.Epoch{epochOf(2, "a", "b", "c", "d")}, true, 3, 6, 6},
+		{"without a seat", epochOf(2, "b", "c"), nil, true, 0, 0, 0},
+		{"an older epoch", epochOf(1, "a"), nil, true, 4, 4, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				l := share.NewLedger(func() {})
-				l.SetEpoch(epochOf(1, "a", "b", "c"), "a")
+				l.SetEpoch(epochOf(1, "a", "b", "c"), nil, "a")
 				l.SetLimits(map[share.Account]share.Limit{unit: limit})
 				l.Activate(1, true)
-				l.SetEpoch(test.second, "a")
+				l.SetEpoch(test.second, test.open, "a")
 				got := []int{l.Free(unit)}
 				l.Activate(test.second.Number, test.settled)
 				got = append(got, l.Free(unit))
@@ -88,7 +91,7 @@
 func TestSettled(t *testing.T) {
 	unit := share.Account{Kind: share.KindRegion, Name: "r"}
 	l := share.NewLedger(func() {})
-	l.SetEpoch(epochOf(1, "a"), "a")
+	l.SetEpoch(epochOf(1, "a"), nil, "a")
 	l.SetLimits(map[share.Account]share.Limit{unit: {Units: 2, Hold: time.Second}})
 	l.Activate(1, true)
 	for n, want := range []bool{true, true, false} {
@@ -96,7 +99,7 @@
 			t.Fatalf("acquiring unit %d: got %v", n, !want)
 		}
 	}
-	l.SetEpoch(epochOf(2, "a", "b"), "a")
+	l.SetEpoch(epochOf(2, "a", "b"), nil, "a")
 	if l.Settled(2) || l.Settled(3) {
 		t.Error("settled with a unit too many in use")
 	}
--- a/core/services/share/ledger.go
+++ b/core/services/share/ledger.go
@@ -155,15 +155,26 @@
 	l.dealing = now
 	for a, r := range l.rates {
 		r.reclaim(now)
-		r.setPortion(l.reign.allowance(a, r.total, now), now)
+		portion := l.reign.allowance(a, r.total, now)
+		if a.Kind != KindTeam || !now.Before(r.beforeUntil) {
+			r.before = nil
+		}
+		for _, total := range r.before {
+			portion = portion.atMost(l.reign.allowance(a, total, now))
+			l.dealing = later(l.dealing, r.beforeUntil)
+		}
+		r.setPortion(portion, now)
 	}
 	hold := time.Duration(0)
 	for a, u := range l.units {
 		hold = max(hold, u.limit.Hold)
 		u.advance(now)
 		u.portion = l.reign.units(a, u.limit.Units, u.limit.Region, u.limit.Hold, now)
-		if now.Before(u.regionUntil) {
-			u.portion = min(u.portion, l.reign.units(a, u.limit.Units, u.regionBefore, u.limit.Hold, now))
+		if !now.Before(u.regionUntil) {
+			u.regionsBefore = nil
+		}
+		for _, region := range u.regionsBefore {
+			u.portion = min(u.portion, l.reign.units(a, u.limit.Units, region, u.limit.Hold, now))
 			l.dealing = later(l.dealing, u.regionUntil)
 		}
 	}
--- a/core/services/share/lend.go
+++ b/core/services/share/lend.go
@@ -8,6 +8,8 @@
 const (
 	// needTerm is how long a need counts after the question that reported it.
 	needTerm = 400 * time.Millisecond
+	// minPass is the least part of a token that is passed on.
+	minPass = nanosPerToken / 4
 	// borrowerTerm is how long a borrower that does not ask any more is remembered.
 	borrowerTerm = 10 * time.Minute
 )
@@ -40,7 +42,7 @@
 	}
 	l.heedRecall(q)
 	for _, r := range q.Rates {
-		if loan, ok := l.lendRate(from, r, now); ok {
+		if loan, ok := l.lendRate(from, q.Sequence, r, now); ok {
 			reply.Rates = append(reply.Rates, loan)
 		}
 		freed = freed || r.Level > 0
@@ -77,12 +79,13 @@
 }
 
 // lendRate settles the borrower's loan of one account and returns what it may use from now on.
-func (l *Ledger) lendRate(from borrower, q RateQuestion, now time.Time) (RateLoan, bool) {
+func (l *Ledger) lendRate(from borrower, sequence uint64, q RateQuestion, now time.Time) (RateLoan, bool) {
 	r, ok := l.rates[q.Account]
 	if !ok {
 		return RateLoan{}, false
 	}
 	r.reclaim(now)
+	r.takeBack(from, q.Unneeded, now)
 	loan, ok := r.loans[from]
 	if !ok {
 		loan = &rateLoan{}
@@ -102,7 +105,8 @@
 	if !target.within(granted) {
 		l.recallRate(r, from, now)
 	}
-	return RateLoan{Account: q.Account, Rate: granted.rate, Burst: granted.burst, Level: level}, true
+	passed := r.pass(passedTokens{tokens: q.Waiting - level, to: from, sequence: sequence}, now)
+	return RateLoan{Account: q.Account, Rate: granted.rate, Burst: granted.burst, Level: level, Passed: passed}, true
 }
 
 // lend raises a loan and returns the tokens that go along: the same part of them as of the burst.
@@ -119,6 +123,35 @@
 	return level
 }
 
+// pass gives tokens away for a moment, if no request waits for them here, with the burst that they need, and returns
+// their number.
+func (r *rate) pass(p passedTokens, now time.Time) int64 {
+	own := r.portion.minus(r.lent)
+	p.tokens = min(p.tokens, own.burst, r.bucket.level)
+	if p.tokens < minPass || r.lacks(now) {
+		return 0
+	}
+	p.until = now.Add(lenderPassTerm)
+	r.bucket.level -= p.tokens
+	r.lent.burst += p.tokens
+	r.passed = append(r.passed, p)
+	r.resize(now)
+	return p.tokens
+}
+
+// takeBack puts passed tokens back that their receiver has given up, unless their term has ended before.
+func (r *rate) takeBack(from borrower, sequence uint64, now time.Time) {
+	i := slices.IndexFunc(r.passed, func(p passedTokens) bool { return p.to == from && p.sequence == sequence })
+	if sequence == 0 || i < 0 {
+		return
+	}
+	tokens := r.passed[i].tokens
+	r.passed = slices.Delete(r.passed, i, i+1)
+	r.lent.burst -= tokens
+	r.resize(now)
+	r.bucket.add(tokens, now)
+}
+
 // spare returns what this process neither has lent nor needs itself.
 func (r *rate) spare(now time.Time) allowance {
 	return r.portion.minus(r.lent).minus(r.desire(now).atMost(r.portion)).atLeast(allowance{})
--- a/core/services/share/loan.go
+++ b/core/services/share/loan.go
@@ -8,6 +8,9 @@
 	// lenderTerm is how long a lender counts a loan as used, counted from when it answered. The margin covers clocks
 	// whose rates differ.
 	lenderTerm = loanTerm + loanTerm/20
+	// passTerm and lenderPassTerm are the same for tokens that are passed to a waiting request.
+	passTerm       = 60 * time.Millisecond
+	lenderPassTerm = passTerm + passTerm/20
 )
 
 // LoanRequest asks one process for loans and reports what is held of earlier ones. All accounts share one question.
@@ -32,6 +35,11 @@
 	NeedRate, NeedBurst int64
 	// HeldRate and HeldBurst are what it holds from this lender now and no less than it will ever use of earlier loans.
 	HeldRate, HeldBurst int64
+	// Waiting is the number of tokens that a request of the borrower waits for.
+	Waiting int64
+	// Unneeded is the sequence of an earlier question whose answer passed tokens that the borrower has given up unused;
+	// zero if there is none.
+	Unneeded uint64
 	// Level is what the borrower returns of its tokens; it has given them up before asking.
 	Level int64
 }
@@ -60,6 +68,8 @@
 	Rate, Burst int64
 	// Level is the number of tokens that come in addition to those that the borrower has.
 	Level int64
+	// Passed is the number of tokens that the borrower may use for a moment, besides.
+	Passed int64
 }
 
 // UnitLoan is what the borrower may use of one account of units from this lender.
--- a/core/services/share/loan_test.go
+++ b/core/services/share/loan_test.go
@@ -30,7 +30,7 @@
 	p := &pair{lender: share.NewLedger(func() {}), borrower: share.NewLedger(func() {}), confirmed: true}
 	for id, l := range map[string]*share.Ledger{"lender": p.lender, "borrower": p.borrower} {
 		l.Confirmed = func() bool { return p.confirmed }
-		l.SetEpoch(epochOf(1, "lender", "borrower"), id)
+		l.SetEpoch(epochOf(1, "lender", "borrower"), nil, id)
 		l.SetLimits(pairLimits())
 		l.Activate(1, true)
 	}
@@ -63,6 +63,11 @@
 	}
 }
 
+// waiting is a question of a request that waits for tokens, or that gives up those that an earlier answer passed.
+func waiting(tokens int64, unneeded uint64) share.RateQuestion {
+	return share.RateQuestion{Account: team, Waiting: tokens * 1e9, Unneeded: unneeded}
+}
+
 func wantUnits(n int) share.LoanRequest {
 	return share.LoanRequest{From: "x", Sequence: 1, Wants: []share.UnitWant{{Accounts: []share.Account{region0}, Units: n}}}
 }
@@ -126,19 +131,19 @@
 		}},
 		{"a process that has lent is not settled in a smaller portion", func(_ *testing.T, p *pair) (int, int) {
 			p.ask(1, all(10, 0))
-			p.lender.SetEpoch(epochOf(2, "lender", "b", "c"), "lender")
+			p.lender.SetEpoch(epochOf(2, "lender", "b", "c"), nil, "lender")
 			if p.lender.Settled(2) {
 				return 1, 0
 			}
 			return 0, 0
 		}},
 		{"the smaller rate counts from adoption on", func(_ *testing.T, p *pair) (int, int) {
-			p.lender.SetEpoch(epochOf(2, "lender"), "lender")
+			p.lender.SetEpoch(epochOf(2, "lender"), nil, "lender")
 			time.Sleep(time.Second)
 			return drain(p.lender, team), 10
 		}},
 		{"a gained rate waits for the loans of silent seats", func(_ *testing.T, p *pair) (int, int) {
-			p.lender.SetEpoch(epochOf(2, "lender"), "lender")
+			p.lender.SetEpoch(epochOf(2, "lender"), nil, "lender")
 			p.lender.Activate(2, false)
 			time.Sleep(time.Second)
 			p.lender.SetLimits(pairLimits())
@@ -146,7 +151,7 @@
 			return drain(p.lender, team), 10
 		}},
 		{"a gained unit waits for the loans and units of silent seats", func(_ *testing.T, p *pair) (int, int) {
-			p.lender.SetEpoch(epochOf(2, "lender"), "lender")
+			p.lender.SetEpoch(epochOf(2, "lender"), nil, "lender")
 			p.lender.Activate(2, false)
 			time.Sleep(1500 * time.Millisecond)
 			p.lender.SetLimits(pairLimits())
@@ -162,6 +167,51 @@
 			p.lender.Return(team, 10)
 			return 100*taken + drain(p.lender, team), 500
 		}},
+		{"tokens are passed to a waiting request and end after a moment", func(_ *testing.T, p *pair) (int, int) {
+			drain(p.lender, team)
+			time.Sleep(50 * time.Millisecond)
+			passed := p.ask(1, waiting(1, 0)).Rates[0].Passed
+			time.Sleep(30 * time.Millisecond)
+			during := drain(p.lender, team)
+			time.Sleep(40 * time.Millisecond)
+			p.lender.SetLimits(pairLimits())
+			time.Sleep(1100 * time.Millisecond)
+			return 100*int(passed/1e8) + 10*during + drain(p.lender, team), 510
+		}},
+		{"passed tokens that nobody needs come back", func(_ *testing.T, p *pair) (int, int) {
+			p.ask(1, waiting(1, 0))
+			p.ask(2, waiting(0, 1))
+			return drain(p.lender, team), 10
+		}},
+		{"passed tokens come back only once", func(_ *testing.T, p *pair) (int, int) {
+			p.ask(1, waiting(1, 0))
+			p.ask(2, waiting(1, 0))
+			p.ask(3, waiting(0, 1))
+			p.ask(4, waiting(0, 1))
+			return drain(p.lender, team), 9
+		}},
+		{"tokens for which a request waits here are not passed", func(_ *testing.T, p *pair) (int, int) {
+			drain(p.lender, team)
+			time.Sleep(20 * time.Millisecond)
+			p.lender.Take(team, 1)
+			return int(p.ask(1, waiting(1, 0)).Rates[0].Passed), 0
+		}},
+		{"a changed burst gives nobody more for a while", func(_ *testing.T, p *pair) (int, int) {
+			limits := pairLimits()
+			limits[team] = share.Limit{Rate: 20, Burst: 1}
+			p.lender.SetLimits(limits)
+			limits[team] = share.Limit{Rate: 20, Burst: 40}
+			p.lender.SetLimits(limits)
+			drain(p.lender, team)
+			time.Sleep(9 * time.Second)
+			if held := drain(p.lender, team); held > 1 {
+				return held, 1
+			}
+			time.Sleep(time.Second)
+			p.lender.SetLimits(limits)
+			time.Sleep(2 * time.Second)
+			return drain(p.lender, team), 20
+		}},
 		{"an account that has moved belongs to nobody new for a while", func(_ *testing.T, p *pair) (int, int) {
 			limits := pairLimits()
 			free := 0
--- a/core/services/share/local_bench_test.go
+++ b/core/services/share/local_bench_test.go
@@ -16,7 +16,7 @@
 	limits[team] = share.Limit{Rate: 1e9, Burst: 1e9}
 	limits[region0] = share.Limit{Units: 1000, Hold: time.Second}
 	l := share.NewLedger(func() {})
-	l.SetEpoch(epochOf(1, "a", "b", "c", "d", "e", "f", "g"), "a")
+	l.SetEpoch(epochOf(1, "a", "b", "c", "d", "e", "f", "g"), nil, "a")
 	l.SetLimits(limits)
 	l.Activate(1, true)
 	time.Sleep(time.Second)
--- a/core/services/share/rate.go
+++ b/core/services/share/rate.go
@@ -1,6 +1,9 @@
 package share
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // rate is the state of one rate account at one process.
 type rate struct {
@@ -19,10 +22,20 @@
 	loans map[borrower]*rateLoan
 	// holdings are those taken, by lender.
 	holdings map[string]*rateHolding
+	// passed are the tokens given to others for a moment; they count as lent until their end.
+	passed []passedTokens
+	// waiting is true after a take was refused, until one succeeds or passed tokens come.
+	waiting bool
+	// unneeded holds the question by whose answer tokens were passed that nobody waits for any more, by lender.
+	unneeded map[string]uint64
 	// nextExpiry is the earliest expiry among holdings; zero if there is none.
 	nextExpiry time.Time
 	// demand estimates the tokens asked for and missed those refused, both a second.
 	demand, missed demand
+	// before holds earlier totals, which bound the portion too until the time in beforeUntil: the burst decides to how
+	// many seats the account is dealt, and others may not know of its change yet.
+	before      []allowance
+	beforeUntil time.Time
 	// largest is the most tokens asked for at once lately.
 	largest int64
 }
@@ -42,6 +55,16 @@
 	until time.Time
 }
 
+// passedTokens are tokens given to a waiting request of another process.
+type passedTokens struct {
+	tokens int64
+	// to and sequence name the receiver and its question.
+	to       borrower
+	sequence uint64
+	// until is when the receiver has certainly stopped using them.
+	until time.Time
+}
+
 // rateHolding is a loan taken.
 type rateHolding struct {
 	allowance
@@ -53,6 +76,7 @@
 	return &rate{
 		bucket:   newBucket(allowance{}, now),
 		loans:    map[borrower]*rateLoan{},
+		unneeded: map[string]uint64{},
 		holdings: map[string]*rateHolding{},
 		demand:   newDemand(limit, now),
 		missed:   newDemand(limit, now),
@@ -63,7 +87,14 @@
 func (r *rate) setLimit(limit Limit, now time.Time) {
 	r.advance(now)
 	r.limit = limit
-	r.total = allowance{rate: tokensDown(limit.Rate), burst: tokensDown(limit.Burst)}
+	total := allowance{rate: tokensDown(limit.Rate), burst: tokensDown(limit.Burst)}
+	if seatsFor(r.total.burst) != seatsFor(total.burst) {
+		if r.total != (allowance{}) {
+			r.before = append(r.before, r.total)
+		}
+		r.beforeUntil = now.Add(limitSpread)
+	}
+	r.total = total
 	if limit.Rate == 0 {
 		r.bucket.level = 0
 	}
@@ -78,6 +109,14 @@
 	r.resize(now)
 }
 
+// missing reports whether a take of this process was refused within the given time.
+func (r *rate) missing(term time.Duration, now time.Time) bool {
+	return now.Sub(r.missed.updated) < term && r.missed.rate > 0
+}
+
+// lacks reports whether a request waits for tokens that this process does not have.
+func (r *rate) lacks(now time.Time) bool { return r.waiting && r.missing(waitingTerm, now) }
+
 // advance brings the state up to now: loans taken stop refilling at the moment of their expiry, and loans given come
 // back empty.
 func (r *rate) advance(now time.Time) {
@@ -109,6 +148,13 @@
 			delete(r.loans, b)
 		}
 	}
+	r.passed = slices.DeleteFunc(r.passed, func(p passedTokens) bool {
+		ended := !now.Before(p.until)
+		if ended {
+			r.lent.burst -= p.tokens
+		}
+		return ended
+	})
 	r.resize(now)
 }
 
@@ -136,13 +182,15 @@
 	r.advance(now)
 	if r.limit.Rate == 0 || r.bucket.level < tokens {
 		r.missed.add(n, now)
+		r.waiting = true
 		return false
 	}
+	r.waiting = false
 	r.bucket.level -= tokens
 	return true
 }
 
 // unused reports whether the account can be forgotten.
 func (r *rate) unused() bool {
-	return r.limit.Rate == 0 && len(r.loans) == 0 && len(r.holdings) == 0
+	return r.limit.Rate == 0 && len(r.loans) == 0 && len(r.holdings) == 0 && len(r.before) == 0 && len(r.passed) == 0
 }
--- a/core/services/share/receive.go
+++ b/core/services/share/receive.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -17,11 +18,11 @@
 	if err != nil {
 		return false
 	}
-	expires := q.sent.Add(loanTerm)
+	expires := q.expires()
 	gained := false
 	for _, loan := range reply.Rates {
 		if r, ok := l.rates[loan.Account]; ok {
-			more, less := r.receive(p.seat, loan, expires, now)
+			more, less := r.receive(p.seat, loan, q, now)
 			gained = gained || more
 			p.due = p.due || less
 		}
@@ -45,8 +46,9 @@
 }
 
 // receive replaces what is held from a lender and reports whether it grew or shrank.
-func (r *rate) receive(seat string, loan RateLoan, expires, now time.Time) (more, less bool) {
+func (r *rate) receive(seat string, loan RateLoan, q question, now time.Time) (more, less bool) {
 	r.advance(now)
+	expires := q.expires()
 	if !now.Before(expires) {
 		return false, false
 	}
@@ -62,10 +64,30 @@
 	if next == (allowance{}) {
 		delete(r.holdings, seat)
 	}
+	kept := r.keep(seat, loan.Passed, q, now)
 	r.schedule()
 	r.resize(now)
-	r.bucket.add(loan.Level, now)
-	return more || loan.Level > 0, less
+	r.bucket.add(loan.Level+kept, now)
+	return more || loan.Level > 0 || kept > 0, less || kept < loan.Passed
+}
+
+// keep adds passed tokens to what is held until they end, each pass with an end of its own, and returns their number. If
+// no request waits for them any more they are given up, which the next question to the lender says.
+func (r *rate) keep(seat string, tokens int64, q question, now time.Time) int64 {
+	expires := q.sent.Add(passTerm)
+	if tokens <= 0 || !now.Before(expires) {
+		return 0
+	}
+	if !r.lacks(now) {
+		r.unneeded[seat] = q.request.Sequence
+		return 0
+	}
+	r.waiting = r.bucket.level+tokens < r.largest
+	passed := allowance{burst: tokens}
+	name := seat + "@" + strconv.FormatUint(q.request.Sequence, 10)
+	r.holdings[name] = &rateHolding{allowance: passed, expires: expires}
+	r.held = r.held.plus(passed)
+	return tokens
 }
 
 // receive renews what is held from a lender and returns by how much it grew. A loan that is smaller than what is held was
--- a/core/services/share/unit.go
+++ b/core/services/share/unit.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// regionSpread is how long instances may take to learn that an account's region has changed; an instance that has not
-// learned of a change by then is not confirmed.
-const regionSpread = 10 * time.Second
+// limitSpread is how long instances may take to learn that a limit has changed; an instance that has not learned of a
+// change by then is not confirmed.
+const limitSpread = 10 * time.Second
 
 // unit is the state of one account of units at one process.
 type unit struct {
@@ -25,9 +25,9 @@
 	contested time.Time
 	// contestedBy is the only one who did so lately; empty if it was this process or several did.
 	contestedBy borrower
-	// regionBefore bounds the portion until regionUntil, after the account has moved or come back.
-	regionBefore string
-	regionUntil  time.Time
+	// regionsBefore bound the portion too until regionUntil, after the account has moved or come back.
+	regionsBefore []string
+	regionUntil   time.Time
 }
 
 // unitLoan is a loan given.
@@ -56,17 +56,23 @@
 func (u *unit) setLimit(limit Limit, now time.Time) {
 	if limit.Units == 0 {
 		if u.limit.Units > 0 {
-			u.regionBefore, u.regionUntil = u.limit.Region, now.Add(regionSpread+u.limit.Hold)
+			u.leaveRegion(u.limit.Hold, now)
 		}
 		limit.Region = u.limit.Region
 	}
 	if u.limit.Units > 0 && limit.Region != u.limit.Region {
-		u.regionBefore, u.regionUntil = u.limit.Region, now.Add(regionSpread+max(u.limit.Hold, limit.Hold))
+		u.leaveRegion(max(u.limit.Hold, limit.Hold), now)
 	}
 	limit.Hold = max(limit.Hold, u.limit.Hold)
 	u.limit = limit
 }
 
+// leaveRegion notes that seats of the present region may use units for some time yet.
+func (u *unit) leaveRegion(hold time.Duration, now time.Time) {
+	u.regionsBefore = append(u.regionsBefore, u.limit.Region)
+	u.regionUntil = later(u.regionUntil, now.Add(limitSpread+hold))
+}
+
 // advance keeps of the holdings that have expired only what covers units in use, and takes back loans that have ended. A
 // holding without units stays until the lender has been told.
 func (u *unit) advance(now time.Time) {
--- a/core/services/share/world_test.go
+++ b/core/services/share/world_test.go
@@ -39,7 +39,9 @@
 	instances []*instance
 	epoch     share.Epoch
 	// earlier are the instances that may still rely on an epoch before the current one.
-	earlier   []*instance
+	earlier []*instance
+	// open holds the epochs before the current one whose portions may be in use.
+	open      []share.Epoch
 	activated time.Time
 	settled   bool
 	// revisions holds the limits in the order in which they were written.
@@ -96,7 +98,7 @@
 	i.lag = time.Duration(w.random.Int64N(int64(2 * time.Second)))
 	i.ctx, i.kill = context.WithCancel(w.ctx)
 	i.ledger = share.NewLedger(notify)
-	i.ledger.SetEpoch(share.Epoch{}, i.id)
+	i.ledger.SetEpoch(share.Epoch{}, nil, i.id)
 	i.ledger.Confirmed = func() bool { return w.confirmed(i) }
 	i.ledger.Ask = func(ctx context.Context, seat string, q share.LoanRequest) (share.LoanReply, error) {
 		return w.ask(ctx, i, seat, q)
@@ -112,8 +114,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.settled || (!w.activated.IsZero() && time.Since(w.activated) > lingering+w.hold) {
-		w.earlier = nil
+		w.earlier, w.open = nil, nil
 	}
+	w.open = append(slices.Clone(w.open), w.epoch)
 	for _, i := range w.instances {
 		for _, s := range w.epoch.Seats {
 			if s.ID == i.id {
@@ -144,7 +147,7 @@
 		time.Sleep(w.network.near)
 		w.wait(i)
 		w.mu.Lock()
-		reachable, epoch := !i.cut && !i.dead, w.epoch
+		reachable, epoch, open := !i.cut && !i.dead, w.epoch, w.open
 		newest := i.revised
 		for n, r := range w.revisions {
 			if time.Since(r.at) >= i.lag || i.revised < 0 {
@@ -153,14 +156,14 @@
 		}
 		w.mu.Unlock()
 		if reachable {
-			w.learn(i, epoch, newest, sent)
+			w.learn(i, epoch, open, newest, sent)
 		}
 		time.Sleep(contactInterval)
 	}
 }
 
-func (w *world) learn(i *instance, epoch share.Epoch, newest int, sent time.Time) {
-	i.ledger.SetEpoch(epoch, i.id)
+func (w *world) learn(i *instance, epoch share.Epoch, open []share.Epoch, newest int, sent time.Time) {
+	i.ledger.SetEpoch(epoch, open, i.id)
 	if newest != i.revised {
 		w.oracle.setLimits(i.id, w.revisions[newest].limits, w.hold)
 		i.ledger.SetLimits(w.revisions[newest].limits)
--- a/core/services/steering/steering_bench_test.go
+++ b/core/services/steering/steering_bench_test.go
@@ -102,7 +102,7 @@
 			return w.instances[to].ledger.Lend(r), nil
 		}
 		if instances > 1 {
-			b.ledger.SetEpoch(epoch, fmt.Sprint(n))
+			b.ledger.SetEpoch(epoch, nil, fmt.Sprint(n))
 			b.ledger.Activate(1, true)
 		}
 		b.Steering = steering.New(d.place(n), b.ledger, b.ledger.Want, b.health)
