Make the targets that fail a stand-in of their own, with one way to accept

The emulator of failing targets was in a test file. Change: core/standin/faulty, used by the proofs of answers and of keys; checks unchanged.

--- a/core/proof/answers_test.go
+++ b/core/proof/answers_test.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
+
+	"medlarpond.dev/core/standin/faulty"
 )
 
 const (
@@ -33,11 +35,11 @@
 // answer late, and checks four promises: each caller gets the whole answer to its own request or sees a failure; a
 // refusal that says "not run" is true; a request that is not idempotent runs at most once; every request ends.
 func TestAnswers(t *testing.T) {
-	j := newJournal()
+	j := faulty.NewJournal()
 	b := startBench(t, zap.NewNop(), append(baseResources(),
-		targetResource("desk", "desk-1", startTarget(t, j)), targetResource("desk", "desk-2", startTarget(t, j)),
-		targetResource("desk", "desk-3", startTarget(t, j)), targetResource("desk", "desk-4", refusing),
-		targetResource("desk", "desk-5", startResetter(t)), targetResource("mixed", "mixed-1", startTarget(t, j)),
+		targetResource("desk", "desk-1", startFaulty(t, j)), targetResource("desk", "desk-2", startFaulty(t, j)),
+		targetResource("desk", "desk-3", startFaulty(t, j)), targetResource("desk", "desk-4", refusing),
+		targetResource("desk", "desk-5", startServer(t, faulty.ServeResets)), targetResource("mixed", "mixed-1", startFaulty(t, j)),
 		targetResource("mixed", "mixed-2", refusing), targetResource("dead", "dead-1", refusing),
 	))
 	var seen tally
@@ -45,10 +47,10 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		batch++
 		calls := run(b.settings.Listen.Caller, rapid.SliceOfN(genRequest(), callers, maxBatch).Draw(rt, "requests"), batch)
-		waitUntil(t, "idle", j.idle)
+		waitUntil(t, "idle", j.Idle)
 		for _, c := range calls {
 			seen.add(c)
-			if err := verdict(c, j.runsOf(c.id)); err != nil {
+			if err := verdict(c, j.RunsOf(c.id)); err != nil {
 				rt.Errorf("%s %s, faults %v: %v", c.method, c.id, c.faults, err)
 			}
 		}
@@ -82,7 +84,7 @@
 	switch {
 	case errors.Is(o.err, os.ErrDeadlineExceeded):
 		return errors.New("the request did not end")
-	case o.status == http.StatusOK && o.body != answerTo(c.id, c.body):
+	case o.status == http.StatusOK && o.body != faulty.AnswerTo(c.id, c.body):
 		return fmt.Errorf("got another answer than its own: %.80q", o.body)
 	case o.status == http.StatusOK && runs == 0:
 		return errors.New("got an answer and no target ran it")
@@ -114,14 +116,14 @@
 }
 
 // check fails if an outcome or a fault was never met; such a test would show nothing.
-func (s *tally) check(t *testing.T, j *journal) {
+func (s *tally) check(t *testing.T, j *faulty.Journal) {
 	t.Helper()
-	t.Logf("%+v, faults met: %v", *s, j.met)
+	t.Logf("%+v", *s)
 	if s.whole < s.requests/4 || s.notRun == 0 || s.broken == 0 || s.other == 0 {
 		t.Errorf("the outcomes are too few to show anything: %+v", *s)
 	}
-	for _, f := range allFaults() {
-		if j.met[f] == 0 {
+	for _, f := range faulty.All() {
+		if j.Met(f) == 0 {
 			t.Errorf("no target has acted out %s", f)
 		}
 	}
--- a/core/proof/bench_test.go
+++ b/core/proof/bench_test.go
@@ -17,6 +17,7 @@
 	"medlarpond.dev/core/models/platform"
 	"medlarpond.dev/core/models/resource"
 	"medlarpond.dev/core/settings"
+	"medlarpond.dev/core/standin/faulty"
 	standin "medlarpond.dev/core/standin/platform"
 )
 
@@ -64,6 +65,24 @@
 	return b
 }
 
+// startServer serves on a free address until the test ends.
+func startServer(t *testing.T, serve func(net.Listener)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go serve(l)
+	return l.Addr().String()
+}
+
+// startFaulty starts a target that acts out the faults that its requests name.
+func startFaulty(t *testing.T, j *faulty.Journal) string {
+	t.Helper()
+	return startServer(t, func(l net.Listener) { faulty.Serve(l, j) })
+}
+
 // baseResources are a place, a service, a team with its key, and routes.
 func baseResources() []resource.Resource {
 	hash := resource.HashKey(testKey)
--- a/core/proof/caller_test.go
+++ b/core/proof/caller_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"medlarpond.dev/core/standin/faulty"
 )
 
 // callBound is how long a caller waits before it calls the answer missing; every request must end by itself long before.
@@ -31,7 +33,7 @@
 	impatient bool
 	// abandoned callers leave without waiting for the answer.
 	abandoned bool
-	faults    []fault
+	faults    []faulty.Fault
 }
 
 func (p plannedRequest) idempotent() bool {
@@ -53,7 +55,7 @@
 			p.chunked = rapid.Bool().Draw(t, "chunked")
 		}
 		if rapid.Bool().Draw(t, "faulty") {
-			p.faults = rapid.SliceOfN(rapid.SampledFrom(allFaults()), 1, 4).Draw(t, "faults")
+			p.faults = rapid.SliceOfN(rapid.SampledFrom(faulty.All()), 1, 4).Draw(t, "faults")
 		}
 		return p
 	})
@@ -66,14 +68,14 @@
 	for _, f := range p.faults {
 		plan = append(plan, string(f))
 	}
-	plan = append(plan, string(faultNone))
+	plan = append(plan, string(faulty.None))
 	_, _ = fmt.Fprintf(&b, "%s /%s/%s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n", p.method, p.service, id, testKey)
-	_, _ = fmt.Fprintf(&b, "%s: %s\r\n", planHeader, strings.Join(plan, ","))
+	_, _ = fmt.Fprintf(&b, "%s: %s\r\n", faulty.PlanHeader, strings.Join(plan, ","))
 	if p.idempotencyKey {
 		_, _ = fmt.Fprintf(&b, "Idempotency-Key: key-%s\r\n", id)
 	}
 	if p.impatient {
-		_, _ = fmt.Fprintf(&b, "Request-Timeout: %.3f\r\n", (lateness / 2).Seconds())
+		_, _ = fmt.Fprintf(&b, "Request-Timeout: %.3f\r\n", (faulty.Lateness / 2).Seconds())
 	}
 	switch {
 	case p.body != nil && p.chunked:
--- a/core/proof/keys_test.go
+++ b/core/proof/keys_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"medlarpond.dev/core/models/resource"
+	"medlarpond.dev/core/standin/faulty"
 )
 
 // otherKey is a second key of the same team, for requests that carry two.
@@ -48,21 +49,9 @@
 // startRecordingTarget starts a target that answers every request and records every byte that it receives.
 func startRecordingTarget(t *testing.T, received io.Writer) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go record(c, received)
-		}
-	}()
-	return l.Addr().String()
+	return startServer(t, func(l net.Listener) {
+		faulty.Accept(l, func(c net.Conn) { record(c, received) })
+	})
 }
 
 func record(c net.Conn, received io.Writer) {
@@ -76,7 +65,7 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		if !write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 			return
 		}
 	}
