--- a/core/routers/operator/status.go
+++ b/core/routers/operator/status.go
@@ -94,12 +94,18 @@
 	writeJSON(w, http.StatusOK, wireHealth{State: string(t.status().Self.State)})
 }
 
-// ready answers 200 only in state ready; the body tells leaving from starting.
+// stateUnconfirmed is what the readiness check says of an instance that is ready but refuses keyed routes.
+const stateUnconfirmed = "unconfirmed"
+
+// ready answers 200 only in state ready and with contact; the body tells leaving from starting and from unconfirmed.
 func (t *Router) ready(w http.ResponseWriter, _ *http.Request) {
-	state := t.status().Self.State
-	status := http.StatusServiceUnavailable
-	if state == membership.StateReady {
-		status = http.StatusOK
+	s := t.status()
+	switch {
+	case s.Self.State != membership.StateReady:
+		writeJSON(w, http.StatusServiceUnavailable, wireHealth{State: string(s.Self.State)})
+	case !s.Confirmed:
+		writeJSON(w, http.StatusServiceUnavailable, wireHealth{State: stateUnconfirmed})
+	default:
+		writeJSON(w, http.StatusOK, wireHealth{State: string(s.Self.State)})
 	}
-	writeJSON(w, status, wireHealth{State: string(state)})
 }
