Give test servers ports that outgoing connections cannot take

Cause: TestPlannedStops failed now and then after 20 s: one of 21 addresses that were free when the test chose them had been taken by an outgoing connection when the instance listened (entry-6: address already in use). Ruled out: the planned stop itself; every finished part of the failed runs had 0 faults.

--- a/core/instance/inforce_test.go
+++ b/core/instance/inforce_test.go
@@ -55,7 +55,7 @@
 	for k := range n {
 		c := settings.Defaults()
 		c.Instance = settings.Instance{ID: fmt.Sprintf("entry-%02d", k), Region: fmt.Sprintf("r%d", k%3), FailureDomain: fmt.Sprintf("r%d-%d", k%3, k%6)}
-		c.Listen = settings.Listen{Caller: address(tb), Operator: address(tb), Peer: address(tb)}
+		c.Listen = settings.Listen{Caller: freeAddress(tb), Operator: freeAddress(tb), Peer: freeAddress(tb)}
 		c.Platform.URL = store.URL
 		c.Requests.LookupTTL = time.Millisecond
 		s.instances = append(s.instances, c)
@@ -126,16 +126,6 @@
 	})
 }
 
-func address(tb testing.TB) string {
-	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 type siteStatus struct {
 	Members    []struct{ Revision uint64 }
 	InContact  bool `json:"in-contact"`
--- a/core/instance/instance_test.go
+++ b/core/instance/instance_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	"medlarpond.dev/core/models/platform"
 	"medlarpond.dev/core/models/resource"
 	"medlarpond.dev/core/settings"
+	"medlarpond.dev/core/standin/loopback"
 	standinplatform "medlarpond.dev/core/standin/platform"
 	"medlarpond.dev/core/standin/target"
 )
@@ -37,14 +37,13 @@
 	stop context.CancelFunc
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
+	address, err := loopback.Free()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func startFleet(t *testing.T) *fleet {
--- a/core/proof/bench_test.go
+++ b/core/proof/bench_test.go
@@ -18,6 +18,7 @@
 	"medlarpond.dev/core/models/resource"
 	"medlarpond.dev/core/settings"
 	"medlarpond.dev/core/standin/faulty"
+	"medlarpond.dev/core/standin/loopback"
 	standin "medlarpond.dev/core/standin/platform"
 )
 
@@ -143,14 +144,13 @@
 	return response.StatusCode, content.String()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
+	address, err := loopback.Free()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func waitUntil(t *testing.T, what string, f func() bool) {
--- a/core/standin/fleet/file.go
+++ b/core/standin/fleet/file.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"os"
 	"time"
 
 	yaml "github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"medlarpond.dev/core/standin/loopback"
 )
 
 // file is the content of a trial file.
@@ -38,19 +39,19 @@
 		return Plan{}, trace.Wrap(err)
 	}
 	p := Plan{Platform: f.Platform.Listen, Entries: f.Entries, Work: f.Targets.Work}
-	return p, json.Unmarshal(encoded, &p.Resources)
+	err = json.Unmarshal(encoded, &p.Resources)
+	return p, err
 }
 
 // FreeAddresses returns addresses on loopback that were free a moment ago.
 func FreeAddresses(count int) ([]string, error) {
 	addresses := make([]string, 0, count)
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+		address, err := loopback.Free()
 		if err != nil {
-			return nil, trace.ConvertSystemError(err)
+			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
