--- a/core/services/share/loan_test.go
+++ b/core/services/share/loan_test.go
@@ -178,6 +178,11 @@
 			time.Sleep(1100 * time.Millisecond)
 			return 100*int(passed/1e8) + 10*during + drain(p.lender, team), 510
 		}},
+		{"passed tokens take their burst along", func(_ *testing.T, p *pair) (int, int) {
+			p.ask(1, share.RateQuestion{Account: team, Waiting: 13e8})
+			time.Sleep(55 * time.Millisecond)
+			return drain(p.lender, team), 8
+		}},
 		{"passed tokens that nobody needs come back", func(_ *testing.T, p *pair) (int, int) {
 			p.ask(1, waiting(1, 0))
 			p.ask(2, waiting(0, 1))
