--- a/core/services/dispatch/key.go
+++ b/core/services/dispatch/key.go
@@ -20,8 +20,6 @@
 	basicPrefix  = "Basic "
 	// maxDecodings bounds how often a value may be percent-encoded and still be recognized.
 	maxDecodings = 3
-	// connectionsPerInstance is the number of connections to a target that an instance keeps idle.
-	connectionsPerInstance = 4
 )
 
 // presentedKeys returns the different keys that came with a request, the one that counts first.
@@ -53,7 +51,7 @@
 	c.removeKey(h)
 	a := target.Attempt{
 		Address: t.Address, Method: r.Method, URI: c.uri(), Host: r.Host, Header: h, Idempotent: c.idempotent,
-		Close: instances*connectionsPerInstance > t.Connections-t.Slots,
+		Close: instances*target.MaxIdle > t.Connections-t.Slots,
 	}
 	if c.containsKey(r.Host) {
 		a.Host = t.Address
--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -26,7 +26,9 @@
 	// freshIdleTimeout is the idle age up to which a connection may carry a request that must not run twice.
 	freshIdleTimeout = 2 * time.Second
 	// maxIdlePerTarget bounds the idle connections to one target, in each of the two pools.
-	maxIdlePerTarget = 2
+	maxIdlePerTarget = 4
+	// MaxIdle bounds the idle connections of an instance to one target.
+	MaxIdle = 2 * maxIdlePerTarget
 	// keepAliveIdle, keepAliveInterval and keepAliveCount bound the silence of a connection that is in use.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = 1 * time.Second
