Check in a table what is said after several attempts

Cause: the mutant that forgets that an earlier attempt ran survived one run of TestAnswers in two, since the order of its events varies. Change: a row of TestAttempts whose first attempt runs and whose second is shed.

--- a/core/routers/caller/caller_test.go
+++ b/core/routers/caller/caller_test.go
@@ -20,6 +20,14 @@
 func TestAttempts(t *testing.T) {
 	swallow := func(net.Conn, string, string) {}
 	hangUp := func(c net.Conn, _, _ string) { _ = c.Close() }
+	var attempts atomic.Int64
+	hangUpThenShed := func(c net.Conn, method, path string) {
+		if attempts.Add(1) == 1 {
+			hangUp(c, method, path)
+			return
+		}
+		answering(shedded)(c, method, path)
+	}
 	tests := []struct {
 		name     string
 		method   string
@@ -39,6 +47,7 @@
 		{name: "post whose target is silent", method: "POST", responds: []func(net.Conn, string, string){swallow, swallow}, status: 504, want: "outcome-unknown", seen: 1},
 		{name: "get whose targets are silent", method: "GET", responds: []func(net.Conn, string, string){swallow, swallow}, status: 504, want: "outcome-unknown", seen: 1},
 		{name: "all targets shed", method: "POST", responds: []func(net.Conn, string, string){answering(shedded), answering(shedded)}, status: 503, want: "overloaded", notRun: true, seen: 2},
+		{name: "a target hangs up, the next one sheds", method: "GET", responds: []func(net.Conn, string, string){hangUpThenShed, hangUpThenShed}, status: 502, want: "outcome-unknown", seen: 2},
 		{name: "another 503", method: "POST", responds: []func(net.Conn, string, string){answering("HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy")}, status: 503, want: "busy", seen: 1},
 		{name: "answer that breaks off", method: "GET", responds: []func(net.Conn, string, string){func(c net.Conn, _, _ string) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort")
