--- a/core/services/share/epoch_test.go
+++ b/core/services/share/epoch_test.go
@@ -108,3 +108,25 @@
 		t.Error("not settled with one unit in use")
 	}
 }
+
+// TestSmallBurst checks that a burst below one token for each seat is owned in whole tokens.
+func TestSmallBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		small := share.Account{Kind: share.KindTeam, Name: "small"}
+		ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+		owners, owned := 0, 0
+		for _, id := range ids {
+			l := share.NewLedger(func() {})
+			l.SetEpoch(epochOf(1, ids...), nil, id)
+			l.SetLimits(map[share.Account]share.Limit{small: {Rate: 20, Burst: 5}})
+			l.Activate(1, true)
+			time.Sleep(2 * time.Second)
+			n := drain(l, small)
+			owned += n
+			owners += min(n, 1)
+		}
+		if owners != 5 || owned != 5 {
+			t.Errorf("%d seats own %d tokens, want 5 with one each", owners, owned)
+		}
+	})
+}
