--- a/core/modules/refusal/refusal.go
+++ b/core/modules/refusal/refusal.go
@@ -95,8 +95,17 @@
 	RetryAfterSeconds float64 `json:"retry-after-seconds,omitempty"`
 }
 
+// WholeSeconds writes a time for Retry-After as HTTP has it.
+func WholeSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
+
+// FractionalSeconds writes a time for callers that take fractions in Retry-After.
+func FractionalSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // Write sends the refusal as an HTTP answer.
-func (r *Refusal) Write(w http.ResponseWriter) {
+func (r *Refusal) Write(w http.ResponseWriter) { r.WriteWith(w, WholeSeconds) }
+
+// WriteWith sends the refusal with the time to wait in the given form.
+func (r *Refusal) WriteWith(w http.ResponseWriter, retryAfter func(time.Duration) string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
@@ -104,7 +113,7 @@
 		h.Set(NotRunHeader, "true")
 	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		h.Set("Retry-After", retryAfter(r.RetryAfter))
 	}
 	w.WriteHeader(r.Status)
 	_ = json.NewEncoder(w).Encode(wireBody{Error: wireError{
--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -229,9 +229,13 @@
 // setUserTimeout makes the kernel close a connection on which sent data stays unacknowledged. Keep-alive probes notice
 // only a connection on which nothing is under way.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeoutTo(raw, userTimeout)
+}
+
+func setUserTimeoutTo(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, failed)
 }
--- /dev/null
+++ b/core/settings/edge.go
@@ -0,0 +1,219 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Edge are the checked settings of an instance that is run by a platform: the store of the platform tells it everything
+// but what stands here.
+type Edge struct {
+	Instance Instance   `yaml:"instance"`
+	Listen   EdgeListen `yaml:"listen"`
+	// FailureDomains maps every failure domain from which callers come to its region.
+	FailureDomains map[string]string `yaml:"failure-domains"`
+	Store          EdgeStore         `yaml:"store"`
+	Memory         EdgeMemory        `yaml:"memory"`
+	Stop           EdgeStop          `yaml:"stop"`
+	Bounds         EdgeBounds        `yaml:"bounds"`
+	Placement      EdgePlacement     `yaml:"placement"`
+	Requests       EdgeRequests      `yaml:"requests"`
+	Log            Log               `yaml:"log"`
+}
+
+// EdgeListen holds the addresses of an instance: an IP number and a port each.
+type EdgeListen struct {
+	// Caller receives requests of callers, Lookup their questions where to connect.
+	Caller string `yaml:"caller"`
+	Lookup string `yaml:"lookup"`
+	// Ready receives the platform's checks, Metrics the readers of metrics.
+	Ready   string `yaml:"ready"`
+	Metrics string `yaml:"metrics"`
+}
+
+// EdgeStore says where the platform's store is and how it is asked.
+type EdgeStore struct {
+	// Address is an IP number and a port.
+	Address string `yaml:"address"`
+	// CallTimeout bounds a call that does not wait for changes.
+	CallTimeout time.Duration `yaml:"call-timeout"`
+	// LeaseTTL is how long the store keeps the registration of an instance that has died.
+	LeaseTTL time.Duration `yaml:"lease-ttl"`
+	// TargetWait is how long a question for changes of targets and instances waits.
+	TargetWait time.Duration `yaml:"target-wait"`
+	// RemovalDelay is how long a target or instance that is missing after an outage of the store is still believed in.
+	RemovalDelay time.Duration `yaml:"removal-delay"`
+}
+
+// EdgeMemory bounds the memory of the process.
+type EdgeMemory struct {
+	// LimitMB is the limit of the platform in megabytes; the collector aims at LimitFraction of it.
+	LimitMB       int     `yaml:"limit-mb"`
+	LimitFraction float64 `yaml:"limit-fraction"`
+	// CollectorPercent is how much the heap may grow between two collections.
+	CollectorPercent int `yaml:"collector-percent"`
+}
+
+// EdgeStop says how an instance stops.
+type EdgeStop struct {
+	// Grace is the time between the signal to stop and the forced end; Margin of it is kept unused.
+	Grace  time.Duration `yaml:"grace"`
+	Margin time.Duration `yaml:"margin"`
+	// LookupTTL is how long callers may keep the answer to a look-up; CacheFactor is how many times longer some do.
+	LookupTTL   time.Duration `yaml:"lookup-ttl"`
+	CacheFactor float64       `yaml:"cache-factor"`
+}
+
+// EdgeBounds are the operators' bounds on what all instances do together.
+type EdgeBounds struct {
+	// RevokeWithin is how soon a withdrawn key must have stopped working.
+	RevokeWithin time.Duration `yaml:"revoke-within"`
+	// RetryRatio and RetryReserve bound the repeats to a service in RetryWindow: a part of its requests and a number.
+	RetryRatio   float64 `yaml:"retry-ratio"`
+	RetryReserve float64 `yaml:"retry-reserve"`
+	// RateOverrun and RateSlack are the tolerance of a team's rate.
+	RateOverrun float64 `yaml:"rate-overrun"`
+	RateSlack   float64 `yaml:"rate-slack"`
+	// EvacuateWithin is how soon an evacuated failure domain must receive nothing more.
+	EvacuateWithin time.Duration `yaml:"evacuate-within"`
+	// RegionShift is the part of a region's requests that may change the region of their targets within two seconds.
+	RegionShift float64 `yaml:"region-shift"`
+}
+
+// EdgePlacement holds the weights of the choice of targets.
+type EdgePlacement struct {
+	// Candidates bounds the targets that are compared for one request.
+	Candidates int `yaml:"candidates"`
+	// RankCost, DomainCost and RegionCost are in latency goals: for each step down an object's order of targets, and for
+	// leaving the failure domain and the region.
+	RankCost   float64 `yaml:"rank-cost"`
+	DomainCost float64 `yaml:"domain-cost"`
+	RegionCost float64 `yaml:"region-cost"`
+}
+
+// EdgeRequests bounds requests.
+type EdgeRequests struct {
+	HeaderTimeout  time.Duration `yaml:"header-timeout"`
+	IdleTimeout    time.Duration `yaml:"idle-timeout"`
+	MaxHeaderBytes int           `yaml:"max-header-bytes"`
+	// MaxTries bounds the targets that one request is offered to.
+	MaxTries int `yaml:"max-tries"`
+	// SafeIdle and UnsafeIdle are the ages of idle connections up to which requests that may and must not run twice use
+	// them.
+	SafeIdle   time.Duration `yaml:"safe-idle"`
+	UnsafeIdle time.Duration `yaml:"unsafe-idle"`
+	// UrgentRoom and OtherRoom are the requests per slot that may wait at a target.
+	UrgentRoom float64 `yaml:"urgent-room"`
+	OtherRoom  float64 `yaml:"other-room"`
+}
+
+// LoadEdge reads and checks the settings file of an edge instance.
+func LoadEdge(path string) (Edge, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Edge{}, trace.ConvertSystemError(err)
+	}
+	return ParseEdge(path, content)
+}
+
+// ParseEdge checks the content of a settings file of an edge instance; the name appears in its errors.
+func ParseEdge(name string, content []byte) (Edge, error) {
+	e := defaultEdge()
+	if err := parse(name, content, &e, func(c *checker) { e.check(c) }); err != nil {
+		return Edge{}, err
+	}
+	return e, nil
+}
+
+func defaultEdge() Edge {
+	return Edge{
+		Store: EdgeStore{
+			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second,
+			RemovalDelay: 2500 * time.Millisecond,
+		},
+		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
+		Stop: EdgeStop{
+			Grace: 6 * time.Second, Margin: 150 * time.Millisecond, LookupTTL: 1500 * time.Millisecond, CacheFactor: 3,
+		},
+		Bounds: EdgeBounds{
+			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateOverrun: 0.1, RateSlack: 20,
+			EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
+		},
+		Placement: EdgePlacement{Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
+		Requests: EdgeRequests{
+			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
+			SafeIdle: 5 * time.Second, UnsafeIdle: time.Second, UrgentRoom: 2, OtherRoom: 1.5,
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+func (e Edge) check(c *checker) {
+	e.Instance.check(c)
+	const address = "is missing or impossible; write an IP number and a port, such as 127.0.0.1:7001"
+	for _, a := range []struct{ setting, address string }{
+		{"listen.caller", e.Listen.Caller},
+		{"listen.lookup", e.Listen.Lookup},
+		{"listen.ready", e.Listen.Ready},
+		{"listen.metrics", e.Listen.Metrics},
+		{"store.address", e.Store.Address},
+	} {
+		_, err := netip.ParseAddrPort(a.address)
+		c.require(err == nil, a.setting, address)
+	}
+	c.require(e.FailureDomains[e.Instance.FailureDomain] == e.Instance.Region, "failure-domains",
+		"must name the failure domain of the instance with its region")
+	e.checkTimes(c)
+	e.checkNumbers(c)
+	e.Log.check(c)
+}
+
+func (e Edge) checkTimes(c *checker) {
+	for _, d := range []struct {
+		setting string
+		value   time.Duration
+	}{
+		{"store.call-timeout", e.Store.CallTimeout},
+		{"store.lease-ttl", e.Store.LeaseTTL},
+		{"store.target-wait", e.Store.TargetWait},
+		{"stop.grace", e.Stop.Grace},
+		{"stop.lookup-ttl", e.Stop.LookupTTL},
+		{"bounds.revoke-within", e.Bounds.RevokeWithin},
+		{"bounds.evacuate-within", e.Bounds.EvacuateWithin},
+		{"requests.header-timeout", e.Requests.HeaderTimeout},
+		{"requests.idle-timeout", e.Requests.IdleTimeout},
+		{"requests.safe-idle", e.Requests.SafeIdle},
+		{"requests.unsafe-idle", e.Requests.UnsafeIdle},
+	} {
+		c.require(d.value > 0, d.setting, "must be a positive time such as 1.5s")
+	}
+	c.require(e.Stop.Margin >= 0 && e.Stop.Margin < e.Stop.Grace, "stop.margin", "must be less than stop.grace")
+}
+
+func (e Edge) checkNumbers(c *checker) {
+	c.require(e.Memory.LimitMB > 0, "memory.limit-mb", "must be a positive number of megabytes")
+	c.require(e.Memory.LimitFraction > 0 && e.Memory.LimitFraction <= 1, "memory.limit-fraction", "must be above 0, at most 1")
+	for _, n := range []struct {
+		setting string
+		value   float64
+	}{
+		{"bounds.retry-ratio", e.Bounds.RetryRatio},
+		{"bounds.retry-reserve", e.Bounds.RetryReserve},
+		{"bounds.rate-overrun", e.Bounds.RateOverrun},
+		{"bounds.rate-slack", e.Bounds.RateSlack},
+		{"bounds.region-shift", e.Bounds.RegionShift},
+		{"placement.rank-cost", e.Placement.RankCost},
+		{"placement.domain-cost", e.Placement.DomainCost},
+		{"placement.region-cost", e.Placement.RegionCost},
+		{"requests.urgent-room", e.Requests.UrgentRoom},
+		{"requests.other-room", e.Requests.OtherRoom},
+	} {
+		c.require(n.value >= 0, n.setting, "must not be negative")
+	}
+	c.require(e.Placement.Candidates > 0, "placement.candidates", "must be positive")
+	c.require(e.Requests.MaxTries > 0, "requests.max-tries", "must be positive")
+	c.require(e.Requests.MaxHeaderBytes > 0, "requests.max-header-bytes", "must be positive")
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -67,19 +67,27 @@
 // Parse checks the content of a settings file; the name appears in its errors.
 func Parse(name string, content []byte) (Settings, error) {
 	s := Defaults()
+	if err := parse(name, content, &s, func(c *checker) { s.check(c) }); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// parse decodes a settings file into a value that holds the defaults, and checks it.
+func parse(name string, content []byte, into any, check func(c *checker)) error {
 	file, err := parser.ParseBytes(content, 0)
 	if err != nil {
-		return Settings{}, syntaxFault(name, err)
+		return syntaxFault(name, err)
 	}
-	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict()).Decode(&s); err != nil {
-		return Settings{}, syntaxFault(name, err)
+	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict()).Decode(into); err != nil {
+		return syntaxFault(name, err)
 	}
 	c := &checker{name: name, file: file}
-	s.check(c)
+	check(c)
 	if len(c.faults) > 0 {
-		return Settings{}, &ErrInvalids{Faults: c.faults}
+		return &ErrInvalids{Faults: c.faults}
 	}
-	return s, nil
+	return nil
 }
 
 // Defaults returns the settings that hold where a file is silent.
