Give an object one target for all origins where slots are few for each object

Cause: with a target in each failure domain every object began cold in up to six places; a first touch takes the work of 640 ms for a goal of 400 ms.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -94,7 +94,7 @@
 	chooser := placement.New(state, s.Instance.ID, own, origins, placement.Policy{
 		RegionShift:    s.Bounds.RegionShift * shiftSpeed,
 		EvacuationRamp: time.Duration(evacuationFraction * float64(s.Bounds.EvacuateWithin)),
-		Candidates:     s.Placement.Candidates, RankCost: s.Placement.RankCost,
+		Objects:        s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New()}
--- a/core/services/belief/belief.go
+++ b/core/services/belief/belief.go
@@ -38,7 +38,7 @@
 	logger *zap.Logger
 	// onInstances is told the number of known instances whenever it changes.
 	onInstances func(n int)
-	view   atomic.Pointer[View]
+	view        atomic.Pointer[View]
 	// confirmedAt is the boot time at which a question was sent that the store has answered and whose answer is in force.
 	confirmedAt atomic.Int64
 
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -146,13 +146,17 @@
 	return w
 }
 
-func (l *Loads) estimate(t roster.Target, service, object string, goal time.Duration, now time.Time) estimate {
+// estimate says what a request would meet at a target. The first target of an object's order is taken to know it, as
+// other instances send the object there too.
+func (l *Loads) estimate(t roster.Target, service, object string, first bool, goal time.Duration, now time.Time) estimate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.of(t)
 	w := l.workOf(service, goal)
 	e := estimate{load: known.total(now), ejected: now.Before(known.ejectedUntil)}
-	_, e.warm = known.objects[object]
+	if _, e.warm = known.objects[object]; first && object != "" {
+		e.warm = true
+	}
 	seconds := w.cold
 	if e.warm {
 		seconds = w.warm
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -19,6 +19,8 @@
 	RegionShift float64
 	// EvacuationRamp is the time over which an evacuated failure domain loses its requests.
 	EvacuationRamp time.Duration
+	// Objects is the number of objects of a service that are in use at once.
+	Objects int
 	// Candidates bounds the targets that are compared for one request.
 	Candidates int
 	// RankCost is the cost of each step down the order of an object, in latency goals.
@@ -113,7 +115,7 @@
 		if slices.Contains(q.Excluded, t.ID) || !p.cold.room(view, t, now) {
 			continue
 		}
-		e := p.loads.estimate(t, q.Service, q.Object, q.Goal, now)
+		e := p.loads.estimate(t, q.Service, q.Object, candidate.rank == 0, q.Goal, now)
 		if e.ejected {
 			continue
 		}
@@ -210,11 +212,14 @@
 		return !t.Leaving && (len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, t.Place.Region))
 	}
 	targets := view.Targets[q.Service]
-	d := deal(newCapacity(targets, func(t roster.Target) bool {
+	c := newCapacity(targets, func(t roster.Target) bool {
 		_, evacuated := view.Evacuated[t.Place.FailureDomain]
 		return permitted(t) && !evacuated
-	}), p.origins)
-	pl := &plan{number: view.Number, service: q.Service, shares: d.from(p.own), byDomain: map[roster.Place][]entry{}}
+	})
+	pl := &plan{
+		number: view.Number, service: q.Service, byDomain: map[roster.Place][]entry{},
+		shares: sharesOf(c, p.origins, p.own, scopeOf(c, p.origins, p.policy.Objects)),
+	}
 	for _, t := range targets {
 		if !permitted(t) {
 			continue
--- a/core/services/placement/shares.go
+++ b/core/services/placement/shares.go
@@ -36,32 +36,36 @@
 	return c
 }
 
-// dealing assigns capacity to the failure domains from which requests come, which are taken to have equal demand: each
-// uses its own targets first, then free ones of its region, then free ones elsewhere. Near targets save bytes on links,
-// and targets that serve few failure domains keep their objects.
+// dealing assigns capacity to the places from which requests come: each uses its own targets first, then free ones of
+// its region, then free ones elsewhere. Near targets save bytes on links.
 type dealing struct {
 	capacity capacity
-	// demand is the part of the capacity that is due to each failure domain.
-	demand float64
-	// flows maps a pair of failure domains, from and to, to slots.
+	// flows maps a pair of places, from and to, to slots.
 	flows map[[2]roster.Place]float64
 }
 
-func deal(c capacity, origins []roster.Place) dealing {
+// deal assigns capacity in proportion to the demand of each origin.
+func deal(c capacity, demand map[roster.Place]float64) dealing {
 	d := dealing{capacity: c, flows: map[[2]roster.Place]float64{}}
-	if len(origins) == 0 || c.total == 0 {
+	total := 0.0
+	for _, part := range demand {
+		total += part
+	}
+	if total == 0 || c.total == 0 {
 		return d
 	}
-	d.demand = c.total / float64(len(origins))
 	missing := map[roster.Place]float64{}
 	free := maps.Clone(c.slots)
 	groups := map[string][]roster.Place{}
-	for _, from := range origins {
-		own := min(d.demand, free[from])
+	var origins []roster.Place
+	for from, part := range demand {
+		due := c.total * part / total
+		own := min(due, free[from])
 		d.flows[[2]roster.Place{from, from}] = own
 		free[from] -= own
-		missing[from] = d.demand - own
+		missing[from] = due - own
 		groups[from.Region] = append(groups[from.Region], from)
+		origins = append(origins, from)
 	}
 	for region, members := range groups {
 		d.fill(missing, free, members, func(to roster.Place) bool { return to.Region == region })
@@ -102,8 +106,81 @@
 	}
 }
 
-// from returns the shares of one failure domain.
-func (d *dealing) from(origin roster.Place) shares {
+// scope says among which targets an object has one that serves it.
+type scope int
+
+const (
+	// scopeAll gives an object one target for all origins.
+	scopeAll scope = iota
+	// scopeRegion gives an object a target in each region as far as capacity permits.
+	scopeRegion
+	// scopeDomain gives an object a target in each failure domain as far as capacity permits.
+	scopeDomain
+)
+
+// scopeOf returns the narrowest scope in which the targets of each group can run at least one request of each object at
+// once; with less, an object would be cold in most groups.
+func scopeOf(c capacity, origins []roster.Place, objects int) scope {
+	regions := map[string]bool{}
+	for _, o := range origins {
+		regions[o.Region] = true
+	}
+	perObject := c.total / float64(max(objects, 1))
+	switch {
+	case perObject >= float64(len(origins)):
+		return scopeDomain
+	case perObject >= float64(len(regions)):
+		return scopeRegion
+	default:
+		return scopeAll
+	}
+}
+
+// sharesOf returns the shares of one origin.
+func sharesOf(c capacity, origins []roster.Place, origin roster.Place, s scope) shares {
+	switch s {
+	case scopeDomain:
+		demand := map[roster.Place]float64{}
+		for _, o := range origins {
+			demand[o] = 1
+		}
+		return deal(c, demand).from(origin)
+	case scopeRegion:
+		demand := map[roster.Place]float64{}
+		for _, o := range origins {
+			demand[roster.Place{Region: o.Region}]++
+		}
+		regional := deal(c.byRegion(), demand).from(roster.Place{Region: origin.Region})
+		regional.domains = c.domains()
+		return regional
+	default:
+		parts := shares{regions: map[string]float64{}, domains: c.domains()}
+		for region, slots := range c.regions {
+			parts.regions[region] = slots / c.total
+		}
+		return parts
+	}
+}
+
+// byRegion returns the capacity with each region as one place.
+func (c capacity) byRegion() capacity {
+	joined := capacity{slots: map[roster.Place]float64{}, regions: c.regions, total: c.total}
+	for region, slots := range c.regions {
+		joined.slots[roster.Place{Region: region}] = slots
+	}
+	return joined
+}
+
+func (c capacity) domains() map[string]float64 {
+	domains := map[string]float64{}
+	for place, slots := range c.slots {
+		domains[place.FailureDomain] = slots
+	}
+	return domains
+}
+
+// from returns the shares of one origin.
+func (d dealing) from(origin roster.Place) shares {
 	s := shares{regions: map[string]float64{}, domains: map[string]float64{}}
 	if d.capacity.total == 0 {
 		return s
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -56,7 +56,9 @@
 		},
 	}
 	return &Pool{
-		dial: func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) },
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
 		idle: map[string][]*conn{},
 	}
 }
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -85,6 +85,9 @@
 
 // EdgePlacement holds the weights of the choice of targets.
 type EdgePlacement struct {
+	// Objects is the number of objects of a service that are in use at once. With few targets for each object, an object
+	// has one target for all callers; with more, one in each region or failure domain.
+	Objects int `yaml:"objects"`
 	// Candidates bounds the targets that are compared for one request.
 	Candidates int `yaml:"candidates"`
 	// RankCost, DomainCost and RegionCost are in latency goals: for each step down an object's order of targets, and for
@@ -142,7 +145,7 @@
 			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateOverrun: 0.1, RateSlack: 20,
 			EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
-		Placement: EdgePlacement{Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
+		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
 		Requests: EdgeRequests{
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
 			SafeIdle: 5 * time.Second, UnsafeIdle: time.Second, UrgentRoom: 2, OtherRoom: 1.5,
@@ -213,6 +216,7 @@
 	} {
 		c.require(n.value >= 0, n.setting, "must not be negative")
 	}
+	c.require(e.Placement.Objects > 0, "placement.objects", "must be positive")
 	c.require(e.Placement.Candidates > 0, "placement.candidates", "must be positive")
 	c.require(e.Requests.MaxTries > 0, "requests.max-tries", "must be positive")
 	c.require(e.Requests.MaxHeaderBytes > 0, "requests.max-header-bytes", "must be positive")
