Count missing entries from the store's return; refuse late requests of a stopping instance; end within the grace time

Ruled out: the store's watch (410 and list came at once). The refusals are true: nothing was sent to a target.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -48,7 +48,9 @@
 	stopPoll = 20 * time.Millisecond
 	// withdrawTimeout bounds the end of the registration.
 	withdrawTimeout = time.Second
-	megabyte        = 1 << 20
+	// acceptFraction is the part of the time to stop in which every request is accepted; later ones must be able to end.
+	acceptFraction = 0.48
+	megabyte       = 1 << 20
 )
 
 // Platform is what the platform gives to an instance.
@@ -67,9 +69,11 @@
 	logger   *zap.Logger
 	state    *belief.State
 	pool     *target.Pool
-	router   *front.Router
-	meter    *meter.Meter
-	leaving  atomic.Bool
+	// forwarder decides about requests, router speaks to callers.
+	forwarder *forward.Forwarder
+	router    *front.Router
+	meter     *meter.Meter
+	leaving   atomic.Bool
 }
 
 // New assembles an instance; headers are those of its callers and targets.
@@ -98,7 +102,7 @@
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New()}
-	forwarder := forward.New(forward.Parts{
+	e.forwarder = forward.New(forward.Parts{
 		State: state, Placement: chooser, Loads: loads, Allowances: allowances, Retries: retries, Pool: e.pool,
 		Headers: headers, Logger: logger,
 		Policy: forward.Policy{
@@ -106,7 +110,7 @@
 			SafeIdle: s.Requests.SafeIdle, UrgentRoom: s.Requests.UrgentRoom, OtherRoom: s.Requests.OtherRoom,
 		},
 	})
-	e.router = front.New(forwarder, headers, e.meter, logger)
+	e.router = front.New(e.forwarder, headers, e.meter, logger)
 	e.meter.Gauge("medlarpond_store_confirmed_seconds", func() float64 { return state.Age().Seconds() })
 	e.meter.Gauge("medlarpond_running_requests", func() float64 { return float64(e.router.Running()) })
 	return e
@@ -169,14 +173,15 @@
 	tree := duty.New(e.logger)
 	defer tree.Stop()
 	caller := e.server(e.router)
+	others := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
 	}{
 		{"caller-server", e.settings.Listen.Caller, caller},
-		{"lookup-server", e.settings.Listen.Lookup, e.server(p.Lookup)},
-		{"ready-server", e.settings.Listen.Ready, e.server(p.Ready)},
-		{"metrics-server", e.settings.Listen.Metrics, e.server(http.HandlerFunc(e.writeMetrics))},
+		{"lookup-server", e.settings.Listen.Lookup, others[0]},
+		{"ready-server", e.settings.Listen.Ready, others[1]},
+		{"metrics-server", e.settings.Listen.Metrics, others[2]},
 	} {
 		var c net.ListenConfig
 		l, err := c.Listen(ctx, "tcp", s.address)
@@ -198,6 +203,9 @@
 	e.logger.Info("started", zap.String("caller", e.settings.Listen.Caller))
 	<-ctx.Done()
 	e.stop(p, caller)
+	for _, server := range others {
+		_ = server.Close()
+	}
 	return nil
 }
 
@@ -207,14 +215,15 @@
 	began := time.Now()
 	e.leaving.Store(true)
 	e.router.Leave()
+	s := e.settings.Stop
+	last := s.Grace - s.Margin
+	e.forwarder.Leave(began.Add(time.Duration(acceptFraction*float64(s.Grace))), began.Add(last))
 	e.logger.Info("leaving", zap.Int64("running", e.router.Running()))
 	bounded, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	if err := p.Withdraw(bounded); err != nil {
 		e.logger.Warn("cannot end the registration; it ends with its lease", zap.Error(err))
 	}
 	cancel()
-	s := e.settings.Stop
-	last := s.Grace - s.Margin
 	cached := min(time.Duration(s.CacheFactor*float64(s.LookupTTL)), last)
 	for time.Since(began) < last && (time.Since(began) < cached || e.router.Running() > 0) {
 		time.Sleep(stopPoll)
@@ -222,6 +231,7 @@
 	bounded, cancel = context.WithDeadline(context.Background(), began.Add(last))
 	defer cancel()
 	if err := caller.Shutdown(bounded); err != nil {
+		_ = caller.Close()
 		e.logger.Warn("requests were still running at the end", zap.Int64("running", e.router.Running()), zap.Error(err))
 	}
 	e.logger.Info("stopped", zap.Duration("after", time.Since(began)))
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,6 +83,19 @@
 type Forwarder struct {
 	Parts
 	splits *splits
+	// leaving is nil until the instance stops.
+	leaving atomic.Pointer[leaving]
+}
+
+// leaving says how an instance that stops treats requests.
+type leaving struct {
+	// refuseFrom is when requests that may last beyond end begin to be refused.
+	refuseFrom, end time.Time
+}
+
+// Leave refuses requests that arrive after refuseFrom and may last beyond end.
+func (f *Forwarder) Leave(refuseFrom, end time.Time) {
+	f.leaving.Store(&leaving{refuseFrom: refuseFrom, end: end})
 }
 
 // New returns a forwarder.
@@ -167,6 +181,10 @@
 	if c.Patience > 0 && c.Patience < route.Timeout {
 		c.ends = c.Arrived.Add(c.Patience)
 	}
+	if l := f.leaving.Load(); l != nil && c.Arrived.After(l.refuseFrom) && c.ends.After(l.end) {
+		return refusal.New(http.StatusServiceUnavailable, refusal.Leaving,
+			"this instance is stopping; use another one").WithRetryAfter(minRetryAfter)
+	}
 	if limit := c.view.Intent.Limits.BodyBytes; limit > 0 && c.Length > limit {
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
 	}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -44,8 +44,8 @@
 	LeaseTTL time.Duration `yaml:"lease-ttl"`
 	// TargetWait is how long a question for changes of targets and instances waits.
 	TargetWait time.Duration `yaml:"target-wait"`
-	// RemovalDelay is how long a target or instance that is missing after an outage of the store is still believed in.
-	RemovalDelay time.Duration `yaml:"removal-delay"`
+	// SettleTime is how long after an outage of the store a target or instance that is missing is still believed in.
+	SettleTime time.Duration `yaml:"settle-time"`
 }
 
 // EdgeMemory bounds the memory of the process.
@@ -135,7 +135,7 @@
 	return Edge{
 		Store: EdgeStore{
 			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second,
-			RemovalDelay: 2500 * time.Millisecond,
+			SettleTime: 2200 * time.Millisecond,
 		},
 		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
 		Stop: EdgeStop{
