--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -75,7 +75,7 @@
 	_, _ = h.Write([]byte(c.ID))
 	q := placement.Query{
 		Service: c.service, Spread: h.Sum64(), HomeRegions: c.homes, Goal: c.route.LatencyGoal, Excluded: c.excluded,
-		Room: f.room(c),
+		Room: f.room(c), TimeLeft: time.Until(c.ends),
 	}
 	if c.route.Sticky {
 		q.Object = c.Object
@@ -152,6 +152,9 @@
 		if target.IsNotSent(err) {
 			return verdictNotRun, placement.OutcomeFailed
 		}
+		if time.Until(c.ends) < minTimeLeft {
+			return verdictUnknown, placement.OutcomeLate
+		}
 		return verdictUnknown, placement.OutcomeFailed
 	}
 	switch {
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -18,6 +18,8 @@
 	failureHalfLife = 3 * time.Second
 	// ejectionThreshold is the weight of failures without a success at which a target is left out.
 	ejectionThreshold = 2.5
+	// lateWeight is the weight of a request that got no answer in its time, relative to a failure.
+	lateWeight = 0.3
 	// firstEjection and maxEjection bound how long a target is left out; the time doubles with each ejection in a row.
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
@@ -30,6 +32,8 @@
 	learning = 0.1
 	// slownessHalfLife is the time in which the belief that a target is slow loses half of its weight.
 	slownessHalfLife = 4 * time.Second
+	// slownessGain is the weight of a late answer.
+	slownessGain = 0.25
 	// maxSlowness bounds the factor by which a target is believed to be slower than others.
 	maxSlowness = 16.0
 	// loadLifetime is how long a target that is not used is remembered.
@@ -49,6 +53,8 @@
 	OutcomeRefused
 	// OutcomeMisdirected means that the address belongs to another target now.
 	OutcomeMisdirected
+	// OutcomeLate is no answer within the time of the request, which a full queue explains too.
+	OutcomeLate
 	// OutcomeCancelled says nothing of the target.
 	OutcomeCancelled
 )
@@ -234,6 +240,8 @@
 			return known.fail(0.5, now)
 		}
 		known.failures, known.failedAt = min(known.failed(now)+0.25, ejectionThreshold*0.9), now
+	case OutcomeLate:
+		return known.fail(lateWeight, now)
 	case OutcomeMisdirected:
 		return known.fail(ejectionThreshold, now)
 	case OutcomeCancelled:
@@ -254,9 +262,13 @@
 	} else {
 		*usual += learning * (min(a.Took.Seconds(), 2**usual) - *usual)
 	}
+	// One quick answer disproves slowness; one late answer may have been for an object that the target had forgotten.
 	ratio := min(max(a.Took.Seconds()/expected, 1), maxSlowness)
 	present := known.slow(now)
-	known.slowness, known.slowAt = present+(ratio-present)/2, now
+	if ratio > present {
+		ratio = present + slownessGain*(ratio-present)
+	}
+	known.slowness, known.slowAt = ratio, now
 }
 
 func (k *load) fail(weight float64, now time.Time) bool {
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -41,6 +41,8 @@
 	HomeRegions []string
 	// Goal is the latency goal.
 	Goal time.Duration
+	// TimeLeft is the time in which the answer is of use.
+	TimeLeft time.Duration
 	// Excluded lists the IDs of targets that must not be chosen.
 	Excluded []string
 	// Room is the number of requests that a target may have beyond its slots, per slot, before this request is refused.
@@ -110,16 +112,23 @@
 	now := time.Now()
 	view := p.state.View()
 	best := math.Inf(1)
+	first := true
 	for _, candidate := range p.candidates(view, q, now) {
 		t := candidate.target
 		if slices.Contains(q.Excluded, t.ID) || !p.cold.room(view, t, now) {
 			continue
 		}
-		e := p.loads.estimate(t, q.Service, q.Object, candidate.rank == 0, q.Goal, now)
+		e := p.loads.estimate(t, q.Service, q.Object, first, q.Goal, now)
 		if e.ejected {
 			continue
 		}
-		if e.load >= float64(t.Slots)*(1+q.Room) {
+		room := q.Room
+		if !first && !e.warm {
+			// Work on an object that is new to the target takes several times as long, so it is worth it in free slots only.
+			room = 0
+		}
+		first = false
+		if e.load+1 > float64(t.Slots)*(1+room) || e.expected > q.TimeLeft {
 			full = true
 			continue
 		}
