--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -115,7 +115,8 @@
 	load     float64
 	warm     bool
 	ejected  bool
-	expected time.Duration
+	// wait is the time until a slot is free, expected the time until the answer.
+	wait, expected time.Duration
 }
 
 func (l *Loads) of(t roster.Target) *load {
@@ -169,7 +170,9 @@
 	}
 	seconds *= known.slow(now)
 	if ahead := e.load + 1 - float64(t.Slots); ahead > 0 {
-		seconds += ahead / float64(t.Slots) * w.warm * known.slow(now)
+		wait := ahead / float64(t.Slots) * w.warm * known.slow(now)
+		e.wait = time.Duration(wait * float64(time.Second))
+		seconds += wait
 	}
 	failing := min(1, known.failed(now)/ejectionThreshold)
 	seconds += failing * failureCost * goal.Seconds()
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -128,7 +128,7 @@
 			room = 0
 		}
 		first = false
-		if e.load+1 > float64(t.Slots)*(1+room) || e.expected > q.TimeLeft {
+		if e.load+1 > float64(t.Slots)*(1+room) || e.wait > q.TimeLeft {
 			full = true
 			continue
 		}
