--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -215,7 +215,7 @@
 	fields := []zap.Field{
 		zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String(logging.FieldTeam, c.team.Name),
 		zap.String(logging.FieldService, c.service), zap.String(logging.FieldTarget, choice.Target.ID),
-		zap.String("target-domain", choice.Target.Place.FailureDomain),
+		zap.String("object", c.Object), zap.String("target-domain", choice.Target.Place.FailureDomain),
 		zap.Uint64("target-revision", choice.Target.Revision), zap.Uint64("intent", c.version()),
 		zap.Int("rank", choice.Rank), zap.Float64("load", choice.Load), zap.Bool("warm", choice.Warm),
 		zap.Duration("expected", choice.Expected), zap.Duration("took", took), zap.String("outcome", v.String()),
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -19,7 +19,7 @@
 	RegionShift float64
 	// EvacuationRamp is the time over which an evacuated failure domain loses its requests.
 	EvacuationRamp time.Duration
-	// Objects is the number of objects of a service that are in use at once.
+	// Objects is the number of objects of a service that the callers of one region use at once.
 	Objects int
 	// Candidates bounds the targets that are compared for one request.
 	Candidates int
--- a/core/services/placement/shares.go
+++ b/core/services/placement/shares.go
@@ -110,56 +110,37 @@
 type scope int
 
 const (
-	// scopeAll gives an object one target for all origins.
-	scopeAll scope = iota
-	// scopeRegion gives an object a target in each region as far as capacity permits.
-	scopeRegion
-	// scopeDomain gives an object a target in each failure domain as far as capacity permits.
+	// scopeRegion gives an object a target for the callers of each region: in the region as far as capacity permits.
+	scopeRegion scope = iota
+	// scopeDomain gives an object a target for the callers of each failure domain, in it as far as capacity permits.
 	scopeDomain
 )
 
-// scopeOf returns the narrowest scope in which the targets of each group can run at least one request of each object at
-// once; with less, an object would be cold in most groups.
+// scopeOf returns the narrowest scope in which the targets can run one request of every object at once for each group of
+// callers. Callers ask for the objects of their region, so in a scope that is too narrow an object is cold in more
+// places than its requests warm.
 func scopeOf(c capacity, origins []roster.Place, objects int) scope {
-	regions := map[string]bool{}
-	for _, o := range origins {
-		regions[o.Region] = true
-	}
-	perObject := c.total / float64(max(objects, 1))
-	switch {
-	case perObject >= float64(len(origins)):
+	if c.total >= float64(objects*len(origins)) {
 		return scopeDomain
-	case perObject >= float64(len(regions)):
-		return scopeRegion
-	default:
-		return scopeAll
 	}
+	return scopeRegion
 }
 
 // sharesOf returns the shares of one origin.
 func sharesOf(c capacity, origins []roster.Place, origin roster.Place, s scope) shares {
-	switch s {
-	case scopeDomain:
-		demand := map[roster.Place]float64{}
+	demand := map[roster.Place]float64{}
+	if s == scopeDomain {
 		for _, o := range origins {
 			demand[o] = 1
 		}
 		return deal(c, demand).from(origin)
-	case scopeRegion:
-		demand := map[roster.Place]float64{}
-		for _, o := range origins {
-			demand[roster.Place{Region: o.Region}]++
-		}
-		regional := deal(c.byRegion(), demand).from(roster.Place{Region: origin.Region})
-		regional.domains = c.domains()
-		return regional
-	default:
-		parts := shares{regions: map[string]float64{}, domains: c.domains()}
-		for region, slots := range c.regions {
-			parts.regions[region] = slots / c.total
-		}
-		return parts
 	}
+	for _, o := range origins {
+		demand[roster.Place{Region: o.Region}]++
+	}
+	regional := deal(c.byRegion(), demand).from(roster.Place{Region: origin.Region})
+	regional.domains = c.domains()
+	return regional
 }
 
 // byRegion returns the capacity with each region as one place.
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -85,8 +85,8 @@
 
 // EdgePlacement holds the weights of the choice of targets.
 type EdgePlacement struct {
-	// Objects is the number of objects of a service that are in use at once. With few targets for each object, an object
-	// has one target for all callers; with more, one in each region or failure domain.
+	// Objects is the number of objects of a service that the callers of one region use at once. With few slots for each
+	// object, an object has one target for the callers of a region; with more, one for those of each failure domain.
 	Objects int `yaml:"objects"`
 	// Candidates bounds the targets that are compared for one request.
 	Candidates int `yaml:"candidates"`
