--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -161,7 +161,8 @@
 	rank   int
 }
 
-// candidates returns the targets in the order of the object.
+// candidates returns targets in the order of the object: at most half of them in the object's region, so that a region
+// at its peak finds room elsewhere.
 func (p *Placement) candidates(view *belief.View, q Query, now time.Time) []ranked {
 	object := hashOf(q.Object)
 	if q.Object == "" {
@@ -169,16 +170,24 @@
 	}
 	pl, regions := p.plan(view, q, now)
 	order := make([]ranked, 0, p.policy.Candidates)
+	inRegion, region := 0, ""
 	for _, place := range pl.order(object, regions, p.own) {
 		if p.leaves(view, place, object, now) {
 			continue
 		}
+		if place.Region != region {
+			inRegion, region = 0, place.Region
+		}
 		entries := slices.Clone(pl.byDomain[place])
 		slices.SortFunc(entries, func(a, b entry) int { return compare(a.score(object), b.score(object)) })
 		for _, e := range entries {
 			if len(order) == p.policy.Candidates {
 				return order
 			}
+			if inRegion == max(1, p.policy.Candidates/2) {
+				break
+			}
+			inRegion++
 			order = append(order, ranked{target: e.target, rank: len(order)})
 		}
 	}
