Count a team's requests over a sliding window; gather changes of targets and instances

The window is what the operators' bound is about, so a part of the window is as safe and pools rate, burst and tolerance.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -30,7 +30,7 @@
 const (
 	// confirmFraction is the part of the bound on withdrawn keys for which contact with the store is trusted; the rest
 	// covers the second in which a store may not report changes.
-	confirmFraction = 0.8
+	confirmFraction = 0.88
 	// evacuationFraction is the part of the bound on evacuations over which requests leave a failure domain.
 	evacuationFraction = 0.6
 	// shiftSpeed turns the bound on shifts within two seconds into a speed; half of the bound is left to chance.
@@ -80,7 +80,8 @@
 func New(s settings.Edge, headers forward.Headers, logger *zap.Logger) *Edge {
 	logger = logger.With(zap.String(logging.FieldInstance, s.Instance.ID))
 	allowances := allowance.New(allowance.Policy{
-		Overrun: s.Bounds.RateOverrun * overrunFraction, Slack: s.Bounds.RateSlack * slackFraction, GrowAfter: partGrowth,
+		Window: s.Bounds.RateWindow, Overrun: s.Bounds.RateOverrun * overrunFraction,
+		Slack: s.Bounds.RateSlack * slackFraction, GrowAfter: partGrowth,
 	})
 	retries := allowance.NewRetries(allowance.RetryPolicy{
 		Ratio: s.Bounds.RetryRatio * retryFraction, Reserve: s.Bounds.RetryReserve * reserveFraction,
--- a/core/services/allowance/allowance.go
+++ b/core/services/allowance/allowance.go
@@ -1,8 +1,9 @@
 // Package allowance keeps what teams may send through one instance, so that all instances together stay within the rate
-// and burst of each team.
+// and burst of each team, and what an instance may repeat.
 //
-// Each instance owns an equal part of every allowance. No messages are needed, and an instance that is cut off goes on
-// with its part; the part shrinks at once when instances join and grows only after those that left must have stopped.
+// Each instance owns an equal part of every allowance and counts its requests over a sliding window. No messages are
+// needed, and an instance that is cut off goes on with its part; the part shrinks at once when instances join and grows
+// only after those that left must have stopped.
 package allowance
 
 import (
@@ -14,6 +15,8 @@
 
 // Policy says how parts are worked out.
 type Policy struct {
+	// Window is the length of the windows in which a team's requests are counted.
+	Window time.Duration
 	// Overrun is the part by which a window may exceed the allowance, and Slack the number of requests besides; both are
 	// dealt to the instances like the allowance itself.
 	Overrun float64
@@ -22,18 +25,26 @@
 	GrowAfter time.Duration
 }
 
-// startFill is the part of the burst that a new process may use at once: its predecessor may have used the burst a moment
-// ago.
-const startFill = 0.25
+const (
+	// startFill is the part of a window that a new process may use at once; the rest comes with the time that it has run,
+	// as its predecessor may have used the window a moment ago.
+	startFill = 0.3
+	// hotDemand is the demand, relative to the part of a window, from which a team counts as far over its rate.
+	hotDemand = 1.5
+	// hotBurst is the part of its burst that such a team may use in each window: whatever it gets beyond its rate takes
+	// room from others.
+	hotBurst = 0.2
+)
 
 // Allowances are the parts of one instance.
 type Allowances struct {
-	policy Policy
+	policy  Policy
+	started time.Time
 
 	mu sync.Mutex
-	// buckets is keyed by team.
-	buckets map[string]*bucket
-	// counts holds the numbers of instances that were seen, newest last; times grow and counts fall.
+	// teams is keyed by name.
+	teams map[string]*usage
+	// counts holds the numbers of instances that were seen, newest last; times grow and numbers fall.
 	counts []counted
 }
 
@@ -42,15 +53,18 @@
 	at        time.Time
 }
 
-// bucket holds the requests that a team may send now.
-type bucket struct {
-	tokens float64
-	at     time.Time
+// usage is what a team has sent.
+type usage struct {
+	// admitted holds the times of the admitted requests of the last window, oldest first.
+	admitted []time.Time
+	// offered is the number of requests, refused ones included, that fades over a window; at offeredAt.
+	offered   float64
+	offeredAt time.Time
 }
 
 // New returns allowances for an instance that knows of no other.
 func New(p Policy) *Allowances {
-	return &Allowances{policy: p, buckets: map[string]*bucket{}}
+	return &Allowances{policy: p, started: time.Now(), teams: map[string]*usage{}}
 }
 
 // SetInstances notes how many instances share the allowances.
@@ -68,17 +82,17 @@
 }
 
 // instances returns the highest number of instances of the last GrowAfter.
-func (a *Allowances) instances(now time.Time) int {
+func (a *Allowances) instances(now time.Time) float64 {
 	for len(a.counts) > 1 && now.Sub(a.counts[0].at) > a.policy.GrowAfter {
 		a.counts = a.counts[1:]
 	}
 	if len(a.counts) == 0 {
 		return 1
 	}
-	return a.counts[0].instances
+	return float64(a.counts[0].instances)
 }
 
-// Take uses up one request of a team. If there is none, wait is how long it takes until there is one.
+// Take uses up one request of a team. If there is none, wait is how long it takes until there may be one.
 func (a *Allowances) Take(t intent.Team) (ok bool, wait time.Duration) {
 	if t.Rate <= 0 {
 		return true, 0
@@ -86,28 +100,45 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	n := float64(a.instances(now))
-	rate := t.Rate * (1 + a.policy.Overrun) / n
-	burst := max(1, (t.Burst*(1+a.policy.Overrun)+a.policy.Slack)/n)
-	b, known := a.buckets[t.Name]
+	u, known := a.teams[t.Name]
 	if !known {
-		b = &bucket{tokens: max(1, burst*startFill), at: now}
-		a.buckets[t.Name] = b
+		u = &usage{offeredAt: now}
+		a.teams[t.Name] = u
 	}
-	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
-	b.at = now
-	if b.tokens >= 1 {
-		b.tokens--
-		return true, 0
+	window := a.policy.Window
+	u.offered = 1 + u.offered*max(0, 1-now.Sub(u.offeredAt).Seconds()/window.Seconds())
+	u.offeredAt = now
+	for len(u.admitted) > 0 && now.Sub(u.admitted[0]) > window {
+		u.admitted = u.admitted[1:]
+	}
+	if float64(len(u.admitted))+1 > a.limit(t, u, now) {
+		if len(u.admitted) == 0 {
+			return false, window
+		}
+		return false, window - now.Sub(u.admitted[0])
+	}
+	u.admitted = append(u.admitted, now)
+	return true, 0
+}
+
+// limit returns the number of requests of a team in a window.
+func (a *Allowances) limit(t intent.Team, u *usage, now time.Time) float64 {
+	n := a.instances(now)
+	steady := t.Rate * a.policy.Window.Seconds() * (1 + a.policy.Overrun)
+	part := (steady + t.Burst*(1+a.policy.Overrun) + a.policy.Slack) / n
+	limit := part
+	if u.offered > hotDemand*part {
+		limit = min(part, (steady+hotBurst*t.Burst)/n)
 	}
-	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	fill := min(1, startFill+(1-startFill)*now.Sub(a.started).Seconds()/a.policy.Window.Seconds())
+	return max(1, limit*fill)
 }
 
 // Return gives back what a request took that certainly did not run.
 func (a *Allowances) Return(t intent.Team) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b, ok := a.buckets[t.Name]; ok {
-		b.tokens++
+	if u, ok := a.teams[t.Name]; ok && len(u.admitted) > 0 {
+		u.admitted = u.admitted[:len(u.admitted)-1]
 	}
 }
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -112,9 +112,9 @@
 }
 
 type estimate struct {
-	load     float64
-	warm     bool
-	ejected  bool
+	load    float64
+	warm    bool
+	ejected bool
 	// wait is the time until a slot is free, expected the time until the answer.
 	wait, expected time.Duration
 }
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -44,6 +44,9 @@
 	LeaseTTL time.Duration `yaml:"lease-ttl"`
 	// TargetWait is how long a question for changes of targets and instances waits.
 	TargetWait time.Duration `yaml:"target-wait"`
+	// TargetBatch and InstanceBatch are the pauses after a change in which further changes gather.
+	TargetBatch   time.Duration `yaml:"target-batch"`
+	InstanceBatch time.Duration `yaml:"instance-batch"`
 	// SettleTime is how long after an outage of the store a target or instance that is missing is still believed in.
 	SettleTime time.Duration `yaml:"settle-time"`
 }
@@ -74,9 +77,11 @@
 	// RetryRatio and RetryReserve bound the repeats to a service in RetryWindow: a part of its requests and a number.
 	RetryRatio   float64 `yaml:"retry-ratio"`
 	RetryReserve float64 `yaml:"retry-reserve"`
-	// RateOverrun and RateSlack are the tolerance of a team's rate.
-	RateOverrun float64 `yaml:"rate-overrun"`
-	RateSlack   float64 `yaml:"rate-slack"`
+	// RateWindow is the time over which a team's requests are counted; RateOverrun and RateSlack are the tolerance, a part
+	// of what is allowed and a number of requests.
+	RateWindow  time.Duration `yaml:"rate-window"`
+	RateOverrun float64       `yaml:"rate-overrun"`
+	RateSlack   float64       `yaml:"rate-slack"`
 	// EvacuateWithin is how soon an evacuated failure domain must receive nothing more.
 	EvacuateWithin time.Duration `yaml:"evacuate-within"`
 	// RegionShift is the part of a region's requests that may change the region of their targets within two seconds.
@@ -135,6 +140,7 @@
 	return Edge{
 		Store: EdgeStore{
 			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second,
+			TargetBatch: 700 * time.Millisecond, InstanceBatch: time.Second,
 			SettleTime: 2200 * time.Millisecond,
 		},
 		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
@@ -142,7 +148,7 @@
 			Grace: 6 * time.Second, Margin: 150 * time.Millisecond, LookupTTL: 1500 * time.Millisecond, CacheFactor: 3,
 		},
 		Bounds: EdgeBounds{
-			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateOverrun: 0.1, RateSlack: 20,
+			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateWindow: 5 * time.Second, RateOverrun: 0.1, RateSlack: 20,
 			EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
@@ -185,6 +191,7 @@
 		{"stop.grace", e.Stop.Grace},
 		{"stop.lookup-ttl", e.Stop.LookupTTL},
 		{"bounds.revoke-within", e.Bounds.RevokeWithin},
+		{"bounds.rate-window", e.Bounds.RateWindow},
 		{"bounds.evacuate-within", e.Bounds.EvacuateWithin},
 		{"requests.header-timeout", e.Requests.HeaderTimeout},
 		{"requests.idle-timeout", e.Requests.IdleTimeout},
