--- a/core/services/belief/belief.go
+++ b/core/services/belief/belief.go
@@ -100,6 +100,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := s.view.Load()
+	if len(domains) == len(present.Evacuated) && !slices.ContainsFunc(domains, func(d string) bool {
+		_, known := present.Evacuated[d]
+		return !known
+	}) {
+		return
+	}
 	next := *present
 	next.Evacuated, next.Returned = map[string]time.Time{}, maps.Clone(present.Returned)
 	if next.Returned == nil {
@@ -124,46 +130,40 @@
 	s.view.Store(&next)
 }
 
-// PutTargets takes descriptions of targets; older ones than known are ignored.
-func (s *State) PutTargets(targets ...roster.Target) {
+// UpdateTargets takes descriptions of targets and the IDs of targets that are gone, with the revision of their end. What
+// is older than known is ignored.
+func (s *State) UpdateTargets(targets []roster.Target, gone map[string]uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
-	for _, t := range targets {
-		old, known := s.targets[t.ID]
-		if known && !t.Supersedes(old) {
-			continue
-		}
-		s.targets[t.ID] = t
-		changed = true
-		if !known || old.Leaving != t.Leaving || old.Started != t.Started || old.Address != t.Address {
-			s.logger.Info("target reported", zap.String("target", t.ID), zap.String("service", t.Service),
-				zap.String("address", t.Address), zap.Bool("leaving", t.Leaving), zap.Uint64("revision", t.Revision))
+	for id, revision := range gone {
+		if old, known := s.targets[id]; known && old.Revision <= revision {
+			delete(s.targets, id)
+			changed = true
+			s.logger.Info("target is gone", zap.String("target", id), zap.String("service", old.Service),
+				zap.Uint64("revision", revision))
 		}
 	}
+	for _, t := range targets {
+		changed = s.putTarget(t) || changed
+	}
 	if changed {
 		s.publishTargets()
 	}
 }
 
-// RemoveTarget forgets a target whose description is not newer than the revision; zero forgets it in any case.
-func (s *State) RemoveTarget(id string, revision uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old, known := s.targets[id]
-	if !known || (revision > 0 && old.Revision > revision) {
-		return
+// putTarget takes one description and reports whether it is news.
+func (s *State) putTarget(t roster.Target) bool {
+	old, known := s.targets[t.ID]
+	if known && !t.Supersedes(old) {
+		return false
 	}
-	delete(s.targets, id)
-	s.logger.Info("target is gone", zap.String("target", id), zap.String("service", old.Service), zap.Uint64("revision", revision))
-	s.publishTargets()
-}
-
-// TargetIDs returns the IDs of all known targets.
-func (s *State) TargetIDs() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.targets))
+	s.targets[t.ID] = t
+	if !known || old.Leaving != t.Leaving || old.Started != t.Started || old.Address != t.Address {
+		s.logger.Info("target reported", zap.String("target", t.ID), zap.String("service", t.Service),
+			zap.String("address", t.Address), zap.Bool("leaving", t.Leaving), zap.Uint64("revision", t.Revision))
+	}
+	return true
 }
 
 func (s *State) publishTargets() {
