--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -40,12 +40,12 @@
 		if time.Until(c.ends) < minTimeLeft {
 			break
 		}
-		choice, full, ok := f.choose(ctx, c)
+		choice, full, ok := f.Placement.Choose(f.query(c))
 		if !ok {
 			return f.noTarget(c, failure, full)
 		}
 		if arrivals > 0 && !f.Retries.Spend(c.service) {
-			f.Loads.End(placement.Attempt{Target: choice.Target, Object: c.objectKey(), Outcome: placement.OutcomeCancelled})
+			f.Loads.End(placement.Attempt{Target: choice.Target, Outcome: placement.OutcomeCancelled})
 			f.Logger.Info("no retry left", zap.String("request", c.ID), zap.String("service", c.service))
 			break
 		}
@@ -70,25 +70,6 @@
 	return f.giveUp(c, failure)
 }
 
-// choose returns a target. A request for an object that another request is just making known to the target waits for it:
-// run at once it would take as long and several times the work.
-func (f *Forwarder) choose(ctx context.Context, c *call) (choice placement.Choice, full, ok bool) {
-	q := f.query(c)
-	choice, full, ok = f.Placement.Choose(q)
-	if choice.Warming == nil {
-		return choice, full, ok
-	}
-	timer := time.NewTimer(min(choice.WarmingTime, time.Until(c.ends)/2))
-	defer timer.Stop()
-	select {
-	case <-choice.Warming:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	q.Impatient, q.TimeLeft = true, time.Until(c.ends)
-	return f.Placement.Choose(q)
-}
-
 func (f *Forwarder) query(c *call) placement.Query {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.ID))
@@ -96,16 +77,10 @@
 		Service: c.service, Spread: h.Sum64(), HomeRegions: c.homes, Goal: c.route.LatencyGoal, Excluded: c.excluded,
 		Room: f.room(c), TimeLeft: time.Until(c.ends),
 	}
-	q.Object = c.objectKey()
-	return q
-}
-
-// objectKey returns the object by which the request is placed; empty on a route where objects do not matter.
-func (c *call) objectKey() string {
-	if !c.route.Sticky {
-		return ""
+	if c.route.Sticky {
+		q.Object = c.Object
 	}
-	return c.Object
+	return q
 }
 
 // noTarget answers a request for which there is no target.
@@ -157,7 +132,7 @@
 	}
 	took := time.Since(began)
 	ejected := f.Loads.End(placement.Attempt{
-		Target: choice.Target, Service: c.service, Object: c.objectKey(), Goal: c.route.LatencyGoal, Took: took,
+		Target: choice.Target, Service: c.service, Object: c.Object, Goal: c.route.LatencyGoal, Took: took,
 		Load: choice.Load, Warm: choice.Warm, Outcome: outcome, Report: report,
 	})
 	f.logAttempt(c, choice, answer, err, v, took)
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -83,9 +83,6 @@
 	// others is the load from other instances at reportedAt.
 	others     float64
 	reportedAt time.Time
-	// warming maps each object that this instance has sent to the target, and that the target does not know yet, to a
-	// channel that is closed when the first such request has ended.
-	warming map[string]chan struct{}
 	// objects maps recently served objects to when they were last served; at most keptObjects.
 	objects map[string]time.Time
 	// failures is the weight of failures at failedAt.
@@ -114,15 +111,10 @@
 	return &Loads{targets: map[string]*load{}, work: map[workKey]*work{}}
 }
 
-// estimate is what a request would meet at a target.
 type estimate struct {
 	load    float64
 	warm    bool
 	ejected bool
-	// warming is not nil while the first request for the object is under way at the target, and coldWork is how long
-	// such a request usually takes.
-	warming  <-chan struct{}
-	coldWork time.Duration
 	// wait is the time until a slot is free, expected the time until the answer.
 	wait, expected time.Duration
 }
@@ -137,7 +129,7 @@
 		if ok {
 			mine = known.mine
 		}
-		known = &load{started: t.Started, mine: mine, objects: map[string]time.Time{}, warming: map[string]chan struct{}{}, slowness: 1}
+		known = &load{started: t.Started, mine: mine, objects: map[string]time.Time{}, slowness: 1}
 		l.targets[t.ID] = known
 	}
 	return known
@@ -169,10 +161,7 @@
 	known := l.of(t)
 	w := l.workOf(service, goal)
 	e := estimate{load: known.total(now), ejected: now.Before(known.ejectedUntil)}
-	if _, e.warm = known.objects[object]; !e.warm {
-		e.warming, e.coldWork = known.warming[object], time.Duration(w.cold*float64(time.Second))
-	}
-	if first && object != "" {
+	if _, e.warm = known.objects[object]; first && object != "" {
 		e.warm = true
 	}
 	seconds := w.cold
@@ -207,16 +196,13 @@
 	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
 
-// Begin counts an attempt for an object, which may be empty.
-func (l *Loads) Begin(t roster.Target, object string) {
+// Begin counts an attempt.
+func (l *Loads) Begin(t roster.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.of(t)
 	known.mine++
 	known.usedAt = time.Now()
-	if _, knows := known.objects[object]; !knows && object != "" && known.warming[object] == nil {
-		known.warming[object] = make(chan struct{})
-	}
 }
 
 // Attempt is one finished attempt.
@@ -241,10 +227,6 @@
 	known := l.of(a.Target)
 	known.mine = max(0, known.mine-1)
 	now := time.Now()
-	if first, ok := known.warming[a.Object]; ok {
-		close(first)
-		delete(known.warming, a.Object)
-	}
 	if a.Report.Known {
 		known.others = math.Max(0, float64(a.Report.Running+a.Report.Waiting-known.mine))
 		known.reportedAt = now
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -43,8 +43,6 @@
 	Goal time.Duration
 	// TimeLeft is the time in which the answer is of use.
 	TimeLeft time.Duration
-	// Impatient is true for a request that does not wait for another one to make an object known.
-	Impatient bool
 	// Excluded lists the IDs of targets that must not be chosen.
 	Excluded []string
 	// Room is the number of requests that a target may have beyond its slots, per slot, before this request is refused.
@@ -62,11 +60,6 @@
 	Warm bool
 	// Expected is the time in which an answer was expected.
 	Expected time.Duration
-	// Warming is not nil if another request for the object is under way, after which the target will know the object.
-	// The attempt is then not counted, and it is better to choose again when the channel is closed, but at the latest
-	// after WarmingTime.
-	Warming     <-chan struct{}
-	WarmingTime time.Duration
 }
 
 // Placement is the choice of one instance.
@@ -111,7 +104,7 @@
 	}
 }
 
-// Choose returns the best target and counts the attempt, which ends with Loads.End, unless Warming is set; ok is false if none may take the
+// Choose returns the best target and counts the attempt, which ends with Loads.End; ok is false if none may take the
 // request, and then full tells whether targets exist but have no room.
 func (p *Placement) Choose(q Query) (c Choice, full, ok bool) {
 	p.mu.Lock()
@@ -141,18 +134,12 @@
 		}
 		if cost := p.cost(candidate, e, q.Goal); cost < best {
 			best, ok = cost, true
-			c = Choice{
-				Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, Expected: e.expected,
-				Warming: e.warming, WarmingTime: e.coldWork,
-			}
+			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, Expected: e.expected}
 		}
 	}
-	if q.Impatient {
-		c.Warming = nil
-	}
-	if ok && c.Warming == nil {
+	if ok {
 		p.cold.take(c.Target)
-		p.loads.Begin(c.Target, q.Object)
+		p.loads.Begin(c.Target)
 	}
 	return c, full, ok
 }
