--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -83,6 +83,9 @@
 	keys map[string]string
 	// hosts maps each host to its routes, the longest prefix first.
 	hosts map[string][]*Route
+	// teamRanks and routeRanks hold the priorities that occur, ascending; routeRanks by service.
+	teamRanks  []int
+	routeRanks map[string][]int
 }
 
 // Content is what an intent is made from.
@@ -101,12 +104,14 @@
 	i := &Intent{
 		Version: c.Version, Limits: c.Limits, keys: c.Keys,
 		services: map[string]Service{}, teams: map[string]Team{}, hosts: map[string][]*Route{},
+		routeRanks: map[string][]int{},
 	}
 	for _, s := range c.Services {
 		i.services[s.Name] = s
 	}
 	for _, t := range c.Teams {
 		i.teams[t.Name] = t
+		i.teamRanks = withRank(i.teamRanks, t.Priority)
 	}
 	for key, team := range c.Keys {
 		if _, ok := i.teams[team]; !ok {
@@ -119,6 +124,9 @@
 			return nil, err
 		}
 		i.hosts[r.Host] = append(i.hosts[r.Host], r)
+		for _, p := range r.Parts {
+			i.routeRanks[p.Service] = withRank(i.routeRanks[p.Service], r.Priority)
+		}
 	}
 	for _, routes := range i.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -148,6 +156,30 @@
 	return nil
 }
 
+func withRank(ranks []int, priority int) []int {
+	at, found := slices.BinarySearch(ranks, priority)
+	if found {
+		return ranks
+	}
+	return slices.Insert(ranks, at, priority)
+}
+
+// Urgency returns how urgent a request is among those of its service, from 0 to 1 for the most urgent. The priority of
+// the team goes before that of the route; a team without a name has the least urgent priority.
+func (i *Intent) Urgency(t Team, r *Route, service string) float64 {
+	routes := i.routeRanks[service]
+	route, _ := slices.BinarySearch(routes, r.Priority)
+	team := len(i.teamRanks) - 1
+	if t.Name != "" {
+		team, _ = slices.BinarySearch(i.teamRanks, t.Priority)
+	}
+	steps := max(len(i.teamRanks), 1)*len(routes) - 1
+	if steps <= 0 {
+		return 1
+	}
+	return 1 - float64(max(team, 0)*len(routes)+route)/float64(steps)
+}
+
 // RouteOf returns the route of a host with the longest prefix that begins the path.
 func (i *Intent) RouteOf(host, path string) (*Route, bool) {
 	for _, r := range i.hosts[host] {
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -49,8 +49,8 @@
 	// UnsafeIdle and SafeIdle are the ages of idle connections up to which requests that must not and may run twice use
 	// them.
 	UnsafeIdle, SafeIdle time.Duration
-	// UrgentRoom and OtherRoom are the requests per slot that may wait at a target, for the most urgent requests and the
-	// others.
+	// UrgentRoom and OtherRoom are the requests per slot that may wait at a target, for the most and the least urgent
+	// requests of a service.
 	UrgentRoom, OtherRoom float64
 }
 
@@ -247,16 +247,10 @@
 	return both
 }
 
-// urgent reports whether the request is among the most urgent: a team's priority goes before its route's.
-func (c *call) urgent() bool {
-	return c.route.Priority <= 1
-}
-
+// room returns the requests per slot that may wait at a target for a request of this urgency.
 func (f *Forwarder) room(c *call) float64 {
-	if c.urgent() {
-		return f.Policy.UrgentRoom
-	}
-	return f.Policy.OtherRoom
+	urgency := c.view.Intent.Urgency(c.team, c.route, c.service)
+	return f.Policy.OtherRoom + urgency*(f.Policy.UrgentRoom-f.Policy.OtherRoom)
 }
 
 func (f *Forwarder) logRefused(c *call, r *refusal.Refusal) {
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -71,7 +71,7 @@
 // Do makes the attempt. It returns *ErrNotSent if no byte of the request can have reached the target, and *ErrBroken if
 // the request may have run and no whole answer came. It never repeats anything by itself.
 func (p *Pool) Do(ctx context.Context, x Exchange) (*Answer, error) {
-	c, fresh, err := p.get(ctx, x.Address, x.MaxIdle)
+	c, fresh, err := p.get(ctx, x.Address, x.MaxIdle, x.Deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one. The second result is true for a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, bool, error) {
+// get returns a connection that was idle for at most maxIdle, or a new one that is open before the deadline. The second
+// result is true for a new one.
+func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, bool, error) {
 	for {
 		c := p.pop(address)
 		if c == nil {
@@ -77,6 +78,8 @@
 		}
 		return c, false, nil
 	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	opened, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, true, &ErrNotSent{Cause: err}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -113,7 +113,8 @@
 	// them.
 	SafeIdle   time.Duration `yaml:"safe-idle"`
 	UnsafeIdle time.Duration `yaml:"unsafe-idle"`
-	// UrgentRoom and OtherRoom are the requests per slot that may wait at a target.
+	// UrgentRoom and OtherRoom are the requests per slot that may wait at a target, for the most and the least urgent
+	// requests of a service.
 	UrgentRoom float64 `yaml:"urgent-room"`
 	OtherRoom  float64 `yaml:"other-room"`
 }
