--- a/core/services/allowance/allowance.go
+++ b/core/services/allowance/allowance.go
@@ -60,6 +60,8 @@
 	// offered is the number of requests, refused ones included, that fades over a window; at offeredAt.
 	offered   float64
 	offeredAt time.Time
+	// paced is what a team far over its rate may send now, at offeredAt; it spreads its requests over the window.
+	paced float64
 }
 
 // New returns allowances for an instance that knows of no other.
@@ -106,32 +108,39 @@
 		a.teams[t.Name] = u
 	}
 	window := a.policy.Window
+	part, pace, burst := a.parts(t, now)
+	if !known {
+		u.paced = burst
+	}
+	u.paced = min(burst, u.paced+pace*now.Sub(u.offeredAt).Seconds())
 	u.offered = 1 + u.offered*max(0, 1-now.Sub(u.offeredAt).Seconds()/window.Seconds())
 	u.offeredAt = now
 	for len(u.admitted) > 0 && now.Sub(u.admitted[0]) > window {
 		u.admitted = u.admitted[1:]
 	}
-	if float64(len(u.admitted))+1 > a.limit(t, u, now) {
+	if u.offered > hotDemand*part && u.paced < 1 {
+		return false, min(window, time.Duration((1-u.paced)/pace*float64(time.Second)))
+	}
+	if float64(len(u.admitted))+1 > part {
 		if len(u.admitted) == 0 {
 			return false, window
 		}
 		return false, window - now.Sub(u.admitted[0])
 	}
 	u.admitted = append(u.admitted, now)
+	u.paced = max(0, u.paced-1)
 	return true, 0
 }
 
-// limit returns the number of requests of a team in a window.
-func (a *Allowances) limit(t intent.Team, u *usage, now time.Time) float64 {
+// parts returns the number of requests of a team that this instance may admit in a window, and the rate and burst of a
+// team that is far over its rate.
+func (a *Allowances) parts(t intent.Team, now time.Time) (window, pace, burst float64) {
 	n := a.instances(now)
-	steady := t.Rate * a.policy.Window.Seconds() * (1 + a.policy.Overrun)
-	part := (steady + t.Burst*(1+a.policy.Overrun) + a.policy.Slack) / n
-	limit := part
-	if u.offered > hotDemand*part {
-		limit = min(part, (steady+hotBurst*t.Burst)/n)
-	}
+	tolerance := 1 + a.policy.Overrun
+	steady := t.Rate * tolerance
+	window = (steady*a.policy.Window.Seconds() + t.Burst*tolerance + a.policy.Slack) / n
 	fill := min(1, startFill+(1-startFill)*now.Sub(a.started).Seconds()/a.policy.Window.Seconds())
-	return max(1, limit*fill)
+	return max(1, window*fill), steady / n, max(1, hotBurst*t.Burst/n)
 }
 
 // Return gives back what a request took that certainly did not run.
@@ -140,5 +149,6 @@
 	defer a.mu.Unlock()
 	if u, ok := a.teams[t.Name]; ok && len(u.admitted) > 0 {
 		u.admitted = u.admitted[:len(u.admitted)-1]
+		u.paced++
 	}
 }
