--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Targets for developers. CI calls .ci/run, which calls these.
 
-MODULES := bench core entry mpctl standin trial
+MODULES := bench core entry mpctl platform standin trial
 GOLANGCI_VERSION := v2.15.0
 
 .PHONY: slopes build fmt fmt-check lint vet test tools tidy mutants count fuzz soak
 
 build:
-	go build -o bin/ ./bench ./entry ./mpctl ./standin ./trial
+	go build -o bin/ ./bench ./entry ./mpctl ./platform ./standin ./trial
 
 tools:
 	@golangci-lint version 2>/dev/null | grep -q '$(GOLANGCI_VERSION:v%=%)' || \
