--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -150,11 +151,14 @@
 			return verdictUnknown, placement.OutcomeCancelled
 		}
 		if target.IsNotSent(err) {
-			return verdictNotRun, placement.OutcomeFailed
+			return verdictNotRun, placement.OutcomeUnreachable
 		}
 		if time.Until(c.ends) < minTimeLeft {
 			return verdictUnknown, placement.OutcomeLate
 		}
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			return verdictUnknown, placement.OutcomeUnreachable
+		}
 		return verdictUnknown, placement.OutcomeFailed
 	}
 	switch {
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -49,6 +49,8 @@
 	OutcomeAnswered Outcome = iota
 	// OutcomeFailed is an answer that reports a failure, a broken connection, or none at all.
 	OutcomeFailed
+	// OutcomeUnreachable is a connection that could not be opened or fell silent.
+	OutcomeUnreachable
 	// OutcomeRefused is the target's statement that it did not run the request.
 	OutcomeRefused
 	// OutcomeMisdirected means that the address belongs to another target now.
@@ -160,7 +162,9 @@
 	defer l.mu.Unlock()
 	known := l.of(t)
 	w := l.workOf(service, goal)
-	e := estimate{load: known.total(now), ejected: now.Before(known.ejectedUntil)}
+	// After an ejection one attempt at a time shows whether the target is back.
+	trying := known.ejections > 0 && known.mine > 0
+	e := estimate{load: known.total(now), ejected: trying || now.Before(known.ejectedUntil)}
 	if _, e.warm = known.objects[object]; first && object != "" {
 		e.warm = true
 	}
@@ -245,7 +249,7 @@
 		known.failures, known.failedAt = min(known.failed(now)+0.25, ejectionThreshold*0.9), now
 	case OutcomeLate:
 		return known.fail(lateWeight, now)
-	case OutcomeMisdirected:
+	case OutcomeUnreachable, OutcomeMisdirected:
 		return known.fail(ejectionThreshold, now)
 	case OutcomeCancelled:
 	}
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -112,27 +112,18 @@
 	now := time.Now()
 	view := p.state.View()
 	best := math.Inf(1)
-	first := true
 	for _, candidate := range p.candidates(view, q, now) {
-		t := candidate.target
-		if slices.Contains(q.Excluded, t.ID) || !p.cold.room(view, t, now) {
-			continue
-		}
-		e := p.loads.estimate(t, q.Service, q.Object, first, q.Goal, now)
-		if e.ejected {
-			continue
-		}
+		t, e := candidate.target, candidate.estimate
 		room := q.Room
-		if !first && !e.warm {
+		if candidate.rank > 0 && !e.warm {
 			// Work on an object that is new to the target takes several times as long, so it is worth it in free slots only.
 			room = 0
 		}
-		first = false
 		if e.load+1 > float64(t.Slots)*(1+room) || e.wait > q.TimeLeft {
 			full = true
 			continue
 		}
-		if cost := p.cost(candidate, e, q.Goal); cost < best {
+		if cost := p.cost(candidate, q.Goal); cost < best {
 			best, ok = cost, true
 			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, Expected: e.expected}
 		}
@@ -145,8 +136,8 @@
 }
 
 // cost weighs the expected time against the order of the object and the way to the target, in latency goals.
-func (p *Placement) cost(candidate ranked, e estimate, goal time.Duration) float64 {
-	cost := e.expected.Seconds()/goal.Seconds() + float64(candidate.rank)*p.policy.RankCost
+func (p *Placement) cost(candidate ranked, goal time.Duration) float64 {
+	cost := candidate.estimate.expected.Seconds()/goal.Seconds() + float64(candidate.rank)*p.policy.RankCost
 	if candidate.target.Place != p.own {
 		cost += p.policy.DomainCost
 	}
@@ -156,13 +147,15 @@
 	return cost
 }
 
+// ranked is a target that may be used, at its place in the order of an object.
 type ranked struct {
-	target roster.Target
-	rank   int
+	target   roster.Target
+	estimate estimate
+	rank     int
 }
 
-// candidates returns targets in the order of the object: at most half of them in the object's region, so that a region
-// at its peak finds room elsewhere.
+// candidates returns targets that may be used in the order of the object: at most half of them in the object's region,
+// so that a region at its peak finds room elsewhere.
 func (p *Placement) candidates(view *belief.View, q Query, now time.Time) []ranked {
 	object := hashOf(q.Object)
 	if q.Object == "" {
@@ -187,8 +180,15 @@
 			if inRegion == max(1, p.policy.Candidates/2) {
 				break
 			}
+			if slices.Contains(q.Excluded, e.target.ID) || !p.cold.room(view, e.target, now) {
+				continue
+			}
+			known := p.loads.estimate(e.target, q.Service, q.Object, len(order) == 0, q.Goal, now)
+			if known.ejected {
+				continue
+			}
 			inRegion++
-			order = append(order, ranked{target: e.target, rank: len(order)})
+			order = append(order, ranked{target: e.target, estimate: known, rank: len(order)})
 		}
 	}
 	return order
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -15,8 +15,9 @@
 	// connectTimeout bounds the set-up of a connection by Pool. Links take tens of milliseconds; a packet that is lost is
 	// sent again only after a second.
 	connectTimeout = 400 * time.Millisecond
-	// unacknowledgedTimeout is how long sent data may stay unacknowledged before the kernel gives a connection up.
-	unacknowledgedTimeout = 1200 * time.Millisecond
+	// unacknowledgedTimeout is how long sent data may stay unacknowledged before the kernel gives a connection up; it
+	// leaves time to send lost packets twice more.
+	unacknowledgedTimeout = 700 * time.Millisecond
 	// maxIdleConnections bounds the idle connections to one target.
 	maxIdleConnections = 8
 	// defaultIdle is the age of an idle connection up to which it is used again if the target announces none.
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -44,8 +44,7 @@
 	LeaseTTL time.Duration `yaml:"lease-ttl"`
 	// TargetWait is how long a question for changes of targets and instances waits.
 	TargetWait time.Duration `yaml:"target-wait"`
-	// TargetBatch and InstanceBatch are the pauses after a change in which further changes gather.
-	TargetBatch   time.Duration `yaml:"target-batch"`
+	// InstanceBatch is the pause after a change of instances in which further changes gather.
 	InstanceBatch time.Duration `yaml:"instance-batch"`
 	// SettleTime is how long after an outage of the store a target or instance that is missing is still believed in.
 	SettleTime time.Duration `yaml:"settle-time"`
@@ -82,6 +81,8 @@
 	RateWindow  time.Duration `yaml:"rate-window"`
 	RateOverrun float64       `yaml:"rate-overrun"`
 	RateSlack   float64       `yaml:"rate-slack"`
+	// DrainWithin is how soon a leaving target must receive nothing more.
+	DrainWithin time.Duration `yaml:"drain-within"`
 	// EvacuateWithin is how soon an evacuated failure domain must receive nothing more.
 	EvacuateWithin time.Duration `yaml:"evacuate-within"`
 	// RegionShift is the part of a region's requests that may change the region of their targets within two seconds.
@@ -140,8 +141,7 @@
 func defaultEdge() Edge {
 	return Edge{
 		Store: EdgeStore{
-			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second,
-			TargetBatch: 700 * time.Millisecond, InstanceBatch: time.Second,
+			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second, InstanceBatch: 2 * time.Second,
 			SettleTime: 2200 * time.Millisecond,
 		},
 		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
@@ -150,12 +150,12 @@
 		},
 		Bounds: EdgeBounds{
 			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateWindow: 5 * time.Second, RateOverrun: 0.1, RateSlack: 20,
-			EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
+			DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
 		Requests: EdgeRequests{
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
-			SafeIdle: 5 * time.Second, UnsafeIdle: time.Second, UrgentRoom: 2, OtherRoom: 1.5,
+			SafeIdle: 5 * time.Second, UnsafeIdle: 2500 * time.Millisecond, UrgentRoom: 2, OtherRoom: 1.5,
 		},
 		Log: Log{Level: "info"},
 	}
@@ -193,6 +193,7 @@
 		{"stop.lookup-ttl", e.Stop.LookupTTL},
 		{"bounds.revoke-within", e.Bounds.RevokeWithin},
 		{"bounds.rate-window", e.Bounds.RateWindow},
+		{"bounds.drain-within", e.Bounds.DrainWithin},
 		{"bounds.evacuate-within", e.Bounds.EvacuateWithin},
 		{"requests.header-timeout", e.Requests.HeaderTimeout},
 		{"requests.idle-timeout", e.Requests.IdleTimeout},
