--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -105,7 +105,7 @@
 	e := &Edge{settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New()}
 	e.forwarder = forward.New(forward.Parts{
 		State: state, Placement: chooser, Loads: loads, Allowances: allowances, Retries: retries, Pool: e.pool,
-		Headers: headers, Logger: logger,
+		Headers: headers, Meter: e.meter, Logger: logger,
 		Policy: forward.Policy{
 			ConfirmTimeout: e.confirmTimeout(), MaxTries: s.Requests.MaxTries, UnsafeIdle: s.Requests.UnsafeIdle,
 			SafeIdle: s.Requests.SafeIdle, UrgentRoom: s.Requests.UrgentRoom, OtherRoom: s.Requests.OtherRoom,
@@ -120,6 +120,9 @@
 // State returns the beliefs that the platform's duties keep up to date.
 func (e *Edge) State() *belief.State { return e.state }
 
+// Meter returns the metrics of the instance.
+func (e *Edge) Meter() *meter.Meter { return e.meter }
+
 // Logger returns the logger of the instance.
 func (e *Edge) Logger() *zap.Logger { return e.logger }
 
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -47,6 +47,7 @@
 		}
 		if arrivals > 0 && !f.Retries.Spend(c.service) {
 			f.Loads.End(placement.Attempt{Target: choice.Target, Outcome: placement.OutcomeCancelled})
+			f.Meter.Count("medlarpond_retries_denied_total", "service", c.service)
 			f.Logger.Info("no retry left", zap.String("request", c.ID), zap.String("service", c.service))
 			break
 		}
@@ -136,8 +137,10 @@
 		Target: choice.Target, Service: c.service, Object: c.Object, Goal: c.route.LatencyGoal, Took: took,
 		Load: choice.Load, Warm: choice.Warm, Outcome: outcome, Report: report,
 	})
+	f.Meter.Count("medlarpond_attempts_total", "outcome", v.String())
 	f.logAttempt(c, choice, answer, err, v, took)
 	if ejected {
+		f.Meter.Count("medlarpond_ejections_total", "service", c.service)
 		f.Logger.Warn("target is left out after failures", zap.String(logging.FieldTarget, choice.Target.ID),
 			zap.String("service", c.service))
 	}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -13,6 +13,7 @@
 
 	"medlarpond.dev/core/models/intent"
 	"medlarpond.dev/core/modules/logging"
+	"medlarpond.dev/core/modules/meter"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
@@ -76,6 +77,7 @@
 	Pool       *target.Pool
 	Headers    Headers
 	Policy     Policy
+	Meter      *meter.Meter
 	Logger     *zap.Logger
 }
 
--- a/mpctl/help.go
+++ b/mpctl/help.go
@@ -129,8 +129,14 @@
 		{"watch", "follow changes", watchHelp, &watchCommand{program: p}},
 		{"history", "show past changes", historyHelp, &historyCommand{program: p}},
 		{"status", "show the state of the fleet", statusHelp, &statusCommand{program: p}},
+		{"explain", "tell from logs what became of a request", explainHelp, &explainCommand{program: p}},
 		{"restore", "put back what the store has lost", restoreHelp, &restoreCommand{program: p}},
 		{"drain", "take a target out of service", drainHelp, &drainCommand{program: p}},
 		{"keys", "grant and withdraw keys", "Grants and withdraws the keys by which teams call.", &struct{}{}},
 	}
 }
+
+const explainHelp = `Reads the log files of instances, or standard input, and prints in the order of time every decision about one
+request: attempts with their target, what was believed of it, how long it took, and refusals with their reason.
+
+  mpctl explain 9c41d07be2a35f68 edge-1.log edge-2.log`
