--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -37,7 +37,7 @@
 	f.Retries.Earn(c.service)
 	var failure *target.Answer
 	arrivals := 0
-	for tries := 0; tries < f.Policy.MaxTries; tries++ {
+	for range f.Policy.MaxTries {
 		if time.Until(c.ends) < minTimeLeft {
 			break
 		}
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -187,7 +187,7 @@
 func (c *conn) readAnswer(x Exchange) (a *Answer, reusable bool, err error) {
 	strays := false
 	for range maxStrays {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.Message.Method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.Message.Method}) //nolint:bodyclose // the connection is closed instead
 		if err != nil {
 			return nil, false, err
 		}
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -78,7 +78,7 @@
 		"late stray before the answer": {func(c net.Conn, id string, _ int) {
 			_, _ = io.WriteString(c, answer("stray", "wrong")+answer(id, id))
 		}, "second"},
-		"only a stray": {func(c net.Conn, id string, n int) {
+		"only a stray": {func(c net.Conn, id string, _ int) {
 			if id == "second" {
 				_, _ = io.WriteString(c, answer("stray", "wrong"))
 				_ = c.Close()
