--- a/core/standin/relay/relay.go
+++ b/core/standin/relay/relay.go
@@ -1,11 +1,13 @@
 // Package relay is a TCP relay for tests. Its open connections can go silent for good while new ones work, as happens
-// when something between two ends loses track of them.
+// when something between two ends loses track of them; it can also delay bytes, lose those of one direction, and reset.
 package relay
 
 import (
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Relay passes bytes between its clients and one server.
@@ -20,6 +22,11 @@
 	cut bool
 	// all holds every socket, to be closed by Close.
 	all []net.Conn
+
+	// delay is what each piece of bytes waits, in nanoseconds.
+	delay atomic.Int64
+	// loseRequests and loseAnswers swallow the bytes of one direction.
+	loseRequests, loseAnswers atomic.Bool
 }
 
 // connection is a pair of sockets; silent is closed when it stops passing bytes.
@@ -67,6 +74,15 @@
 	clear(r.open)
 }
 
+// Delay makes each piece of bytes wait.
+func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Lose swallows what clients send, what the server sends, or both, on all connections.
+func (r *Relay) Lose(requests, answers bool) {
+	r.loseRequests.Store(requests)
+	r.loseAnswers.Store(answers)
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -106,24 +122,24 @@
 		reset(server)
 		return
 	}
-	go c.pass(server, client)
-	c.pass(client, server)
+	go c.pass(&gate{to: server, silent: c.silent, delay: &r.delay, lose: &r.loseRequests}, client)
+	c.pass(&gate{to: client, silent: c.silent, delay: &r.delay, lose: &r.loseAnswers}, server)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.open, c)
 }
 
 // pass copies one direction; a silent connection swallows its bytes and never ends.
-func (c *connection) pass(to, from net.Conn) {
-	_, err := io.Copy(&gate{to: to, silent: c.silent}, from)
+func (c *connection) pass(to *gate, from net.Conn) {
+	_, err := io.Copy(to, from)
 	select {
 	case <-c.silent:
 	default:
 		if err != nil {
-			reset(to)
+			reset(to.to)
 			return
 		}
-		if half, ok := to.(*net.TCPConn); ok {
+		if half, ok := to.to.(*net.TCPConn); ok {
 			_ = half.CloseWrite()
 		}
 	}
@@ -133,16 +149,22 @@
 type gate struct {
 	to     net.Conn
 	silent chan struct{}
+	delay  *atomic.Int64
+	lose   *atomic.Bool
 }
 
 // Write implements io.Writer.
 func (g *gate) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(g.delay.Load()))
 	select {
 	case <-g.silent:
 		return len(b), nil
 	default:
-		return g.to.Write(b)
 	}
+	if g.lose.Load() {
+		return len(b), nil
+	}
+	return g.to.Write(b)
 }
 
 func reset(c net.Conn) {
