--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// reportHalfLife is the time in which a reported load of other instances loses half of its weight; requests at a
-	// target last about as long.
-	reportHalfLife = 500 * time.Millisecond
+	// reportHalfLife is the time in which a reported load of other instances loses half of its weight. An instance hears
+	// of a target every half second or so, and the load of others changes in seconds.
+	reportHalfLife = 2 * time.Second
 	// keptObjects bounds the objects that a target is believed to serve faster.
 	keptObjects = 24
 	// failureHalfLife is the time in which failures of a target lose half of their weight.
