--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -33,8 +33,10 @@
 	confirmFraction = 0.88
 	// evacuationFraction is the part of the bound on evacuations over which requests leave a failure domain.
 	evacuationFraction = 0.6
-	// shiftSpeed turns the bound on shifts within two seconds into a speed; half of the bound is left to chance.
-	shiftSpeed = 0.25
+	// shiftSpeed turns the bound on shifts within two seconds into a speed that uses two fifths of it; spillFraction of it
+	// is for requests that find no room in their region, and the rest is left to chance.
+	shiftSpeed    = 0.2
+	spillFraction = 0.4
 	// reserveFraction is the part of the reserve of repeats that is used: a fleet that restarts begins with a new one.
 	reserveFraction = 0.45
 	// retryFraction is the part of the permitted ratio of repeats that is used.
@@ -98,6 +100,7 @@
 	loads := placement.NewLoads()
 	chooser := placement.New(state, s.Instance.ID, own, origins, placement.Policy{
 		RegionShift:    s.Bounds.RegionShift * shiftSpeed,
+		RegionSpill:    s.Bounds.RegionShift * spillFraction,
 		EvacuationRamp: time.Duration(evacuationFraction * float64(s.Bounds.EvacuateWithin)),
 		Objects:        s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
@@ -190,6 +193,8 @@
 		var c net.ListenConfig
 		l, err := c.Listen(ctx, "tcp", s.address)
 		if err != nil {
+			_ = caller.Close()
+			closeAll(others)
 			return trace.Wrap(err, "listening on %s", s.address)
 		}
 		server := s.server
@@ -207,12 +212,16 @@
 	e.logger.Info("started", zap.String("caller", e.settings.Listen.Caller))
 	<-ctx.Done()
 	e.stop(p, caller)
-	for _, server := range others {
-		_ = server.Close()
-	}
+	closeAll(others)
 	return nil
 }
 
+func closeAll(servers []*http.Server) {
+	for _, s := range servers {
+		_ = s.Close()
+	}
+}
+
 // stop sends callers elsewhere, serves until none can still hold an answer that names this instance, and lets running
 // requests end.
 func (e *Edge) stop(p Platform, caller *http.Server) {
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -17,6 +17,8 @@
 type Policy struct {
 	// RegionShift is the part of the requests of one origin that may change its region within one second.
 	RegionShift float64
+	// RegionSpill is the part of the requests that may be served outside the region of their object for want of room.
+	RegionSpill float64
 	// EvacuationRamp is the time over which an evacuated failure domain loses its requests.
 	EvacuationRamp time.Duration
 	// Objects is the number of objects of a service that the callers of one region use at once.
@@ -74,6 +76,7 @@
 	// plans is keyed by service and home regions.
 	plans map[planKey]*plan
 	cold  cold
+	spill spill
 }
 
 type planKey struct{ service, homes string }
@@ -112,8 +115,13 @@
 	now := time.Now()
 	view := p.state.View()
 	best := math.Inf(1)
-	for _, candidate := range p.candidates(view, q, now) {
+	candidates := p.candidates(view, q, now)
+	for _, candidate := range candidates {
 		t, e := candidate.target, candidate.estimate
+		if t.Place.Region != candidates[0].target.Place.Region && !p.spill.room(now, p.policy.RegionSpill) {
+			full = true
+			continue
+		}
 		room := q.Room
 		if candidate.rank > 0 && !e.warm {
 			// Work on an object that is new to the target takes several times as long, so it is worth it in free slots only.
@@ -129,6 +137,7 @@
 		}
 	}
 	if ok {
+		p.spill.count(now, c.Target.Place.Region != candidates[0].target.Place.Region)
 		p.cold.take(c.Target)
 		p.loads.Begin(c.Target)
 	}
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -27,7 +27,7 @@
 )
 
 var policy = placement.Policy{
-	RegionShift: 0.0375, EvacuationRamp: 3 * time.Second, Objects: 40, Candidates: 6,
+	RegionShift: 0.03, RegionSpill: 0.06, EvacuationRamp: 3 * time.Second, Objects: 40, Candidates: 6,
 	RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2,
 }
 
@@ -308,3 +308,38 @@
 		t.Error("the only target is left out after three late answers")
 	}
 }
+
+// TestSpillKeepsTheBoundOnShifts presses more on a region than it can run, from one moment to the next.
+func TestSpillKeepsTheBoundOnShifts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.spread(4, east1, east2, west1, west2)
+		p, l := w.placement("a", east1)
+		previous := 0.0
+		for window := range 6 {
+			perRequest := 20 * time.Millisecond
+			if window%2 == 1 {
+				perRequest = time.Millisecond
+			}
+			served, elsewhere := 0.0, 0.0
+			for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(perRequest) {
+				c, _, ok := p.Choose(query(fmt.Sprint(int(served) % 24)))
+				if !ok {
+					continue
+				}
+				served++
+				if c.Target.Place.Region != "east" {
+					elsewhere++
+				}
+				time.AfterFunc(300*time.Millisecond, func() {
+					l.End(placement.Attempt{Target: c.Target, Service: "orders", Goal: goal, Took: 300 * time.Millisecond, Outcome: placement.OutcomeAnswered})
+				})
+			}
+			part := elsewhere / served
+			if math.Abs(part-previous) > 0.15 {
+				t.Errorf("window %d: the part served elsewhere went from %.3f to %.3f, bound 0.15", window, previous, part)
+			}
+			previous = part
+		}
+	})
+}
