--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -55,6 +55,12 @@
 	return strings.Join(lines, "\n")
 }
 
+// IsInvalid reports whether an error lists faults of a settings file.
+func IsInvalid(err error) bool {
+	var invalid *ErrInvalids
+	return errors.As(err, &invalid)
+}
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	content, err := os.ReadFile(path)
--- a/entry/main.go
+++ b/entry/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,16 +12,11 @@
 
 	"medlarpond.dev/core/instance"
 	"medlarpond.dev/core/models/platform"
+	"medlarpond.dev/core/modules/exit"
 	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/settings"
 )
 
-// The exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 type fileArgument struct {
 	File string `positional-arg-name:"FILE" description:"settings file in YAML" required:"yes"`
 }
@@ -41,25 +35,7 @@
 	_, _ = parser.AddCommand("run", "run the instance", "Runs the instance until SIGTERM or SIGINT, then stops gracefully.", &runCommand{})
 	_, _ = parser.AddCommand("check", "check a settings file", "Checks a settings file without starting.", &checkCommand{})
 	_, err := parser.Parse()
-	os.Exit(report(err))
-}
-
-// report prints an error and returns the exit code that belongs to it.
-func report(err error) int {
-	if err == nil {
-		return 0
-	}
-	var help *flags.Error
-	if errors.As(err, &help) && help.Type == flags.ErrHelp {
-		fmt.Println(help.Message)
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, err)
-	var invalid *settings.ErrInvalids
-	if errors.As(err, &invalid) || errors.As(err, &help) {
-		return exitSettings
-	}
-	return exitFailed
+	os.Exit(exit.Report(err, settings.IsInvalid))
 }
 
 // Execute checks the file.
