--- /dev/null
+++ b/core/edge/edge_test.go
@@ -0,0 +1,58 @@
+package edge_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"medlarpond.dev/core/edge"
+	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/modules/boottime"
+	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/settings"
+)
+
+func TestLocate(t *testing.T) {
+	place := func(region, domain string) roster.Place { return roster.Place{Region: region, FailureDomain: domain} }
+	all := []roster.Instance{
+		{ID: "a", Place: place("east", "east-1")},
+		{ID: "b", Place: place("east", "east-2")},
+		{ID: "c", Place: place("west", "west-1")},
+		{ID: "self", Place: place("north", "north-1")},
+	}
+	for name, c := range map[string]struct {
+		from      roster.Place
+		confirmed bool
+		known     []roster.Instance
+		want      []string
+	}{
+		"own failure domain":                    {place("east", "east-2"), true, all, []string{"b"}},
+		"own region":                            {place("east", "east-3"), true, all, []string{"a", "b"}},
+		"elsewhere":                             {place("south", "south-1"), true, all, []string{"a", "b", "c", "self"}},
+		"not itself without contact":            {place("north", "north-1"), false, all, []string{"a", "b", "c"}},
+		"itself in contact":                     {place("north", "north-1"), true, all, []string{"self"}},
+		"itself without contact if nobody else": {place("north", "north-1"), false, all[3:], []string{"self"}},
+		"nobody":                                {place("north", "north-1"), true, nil, nil},
+	} {
+		s := settings.Edge{
+			Instance: settings.Instance{ID: "self", Region: "north", FailureDomain: "north-1"},
+			Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second},
+			Stop:     settings.EdgeStop{LookupTTL: time.Second},
+		}
+		e := edge.New(s, forward.Headers{}, zap.NewNop())
+		e.State().SetInstances(slices.Clone(c.known))
+		if c.confirmed {
+			e.State().Confirm(boottime.Now())
+		}
+		var got []string
+		located := e.Locate(c.from)
+		for _, i := range located.Instances {
+			got = append(got, i.ID)
+		}
+		if !slices.Equal(got, c.want) || located.TTL != time.Second {
+			t.Errorf("%s: %v for %v, want %v", name, got, located.TTL, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/core/settings/edge_test.go
@@ -0,0 +1,50 @@
+package settings_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"medlarpond.dev/core/settings"
+)
+
+const goodEdge = `
+instance: {id: i-1, region: east, failure-domain: east-1}
+listen: {caller: 127.0.0.1:1, lookup: 127.0.0.1:2, ready: 127.0.0.1:3, metrics: 127.0.0.1:4}
+failure-domains: {east-1: east}
+store: {address: 127.0.0.1:5}
+`
+
+func TestParseEdge(t *testing.T) {
+	if _, err := settings.ParseEdge("good", []byte(goodEdge)); err != nil {
+		t.Fatal(err)
+	}
+	for want, change := range map[string][2]string{
+		"instance.id":                {"id: i-1", "id: I 1"},
+		"listen.ready":               {"ready: 127.0.0.1:3", "ready: somewhere"},
+		"failure-domains":            {"{east-1: east}", "{west-1: west}"},
+		"store.address":              {"address: 127.0.0.1:5", "address: ''"},
+		"memory.limit-mb":            {"store:", "memory: {limit-mb: 0}\nstore:"},
+		"bounds.revoke-within":       {"store:", "bounds: {revoke-within: 0s}\nstore:"},
+		"stop.margin":                {"store:", "stop: {grace: 1s, margin: 2s}\nstore:"},
+		"placement.candidates":       {"store:", "placement: {candidates: 0}\nstore:"},
+		"requests.max-tries":         {"store:", "requests: {max-tries: 0}\nstore:"},
+		"bounds.retry-ratio":         {"store:", "bounds: {retry-ratio: -1}\nstore:"},
+		"unknown field \"no-such\"":  {"store:", "no-such: 1\nstore:"},
+		"string into Go struct type": {"store:", "stop: 5\nstore:"},
+	} {
+		text := strings.Replace(goodEdge, change[0], change[1], 1)
+		_, err := settings.ParseEdge("edge.yaml", []byte(text))
+		var invalid *settings.ErrInvalids
+		if !errors.As(err, &invalid) {
+			t.Errorf("%q in place of %q is accepted: %v", change[1], change[0], err)
+			continue
+		}
+		if !strings.HasPrefix(err.Error(), "edge.yaml:") {
+			t.Errorf("fault %q does not name the file and line", err)
+		}
+		if !strings.Contains(err.Error(), want) && !strings.Contains(want, "string into") {
+			t.Errorf("fault %q does not name %s", err, want)
+		}
+	}
+}
