--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -19,7 +19,8 @@
 	RegionShift float64
 	// RegionSpill is the part of the requests that may be served outside the region of their object for want of room.
 	RegionSpill float64
-	// EvacuationRamp is the time over which an evacuated failure domain loses its requests.
+	// EvacuationRamp is the time after which an evacuated failure domain receives nothing more, and over which one that
+	// was taken back gets its objects again.
 	EvacuationRamp time.Duration
 	// Objects is the number of objects of a service that the callers of one region use at once.
 	Objects int
@@ -203,8 +204,8 @@
 	return order
 }
 
-// leaves reports whether requests for an object have left an evacuated failure domain, or not yet returned to one that
-// was taken back. Objects move one by one, so that neither region nor targets get all at once.
+// leaves reports whether an object may not use an evacuated failure domain even as a last resort, or has not yet returned
+// to one that was taken back. Objects return one by one, so that its targets, which may be cold, do not get all at once.
 func (p *Placement) leaves(view *belief.View, place roster.Place, object uint64, now time.Time) bool {
 	part := uniform(mix(object ^ hashOf(place.FailureDomain)))
 	if since, ok := view.Evacuated[place.FailureDomain]; ok {
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -343,3 +343,19 @@
 		}
 	})
 }
+
+// TestEvacuatedTargetsAreNoRefuge presses so much that requests look for room everywhere.
+func TestEvacuatedTargetsAreNoRefuge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.spread(2, east1, east2)
+		p, _ := w.placement("a", east2)
+		w.state.SetEvacuated([]string{east1.FailureDomain})
+		time.Sleep(policy.EvacuationRamp)
+		for n := range 200 {
+			if c, _, ok := p.Choose(query(fmt.Sprint(n))); ok && c.Target.Place == east1 {
+				t.Fatalf("request %d goes to the evacuated failure domain", n)
+			}
+		}
+	})
+}
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -224,9 +224,13 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
+	began := time.Now()
 	if _, err := target.NewPool().Do(ctx, exchange(address, "x")); err == nil {
 		t.Error("no error although the caller left")
 	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("the attempt ends %v after its begin, the caller left after 50ms", took)
+	}
 	select {
 	case <-ended:
 	case <-time.After(time.Second):
@@ -234,6 +238,30 @@
 	}
 }
 
+func TestConnectionWithAStrayIsNotUsedAgain(t *testing.T) {
+	var connections atomic.Int64
+	address := rawServer(t, func(c net.Conn, _ int) {
+		connections.Add(1)
+		r := bufio.NewReader(c)
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answer("stray", "wrong")+answer(id, id))
+		}
+	})
+	p := target.NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		if _, err := p.Do(t.Context(), exchange(address, id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := connections.Load(); n != 3 {
+		t.Errorf("%d connections for three requests, each with a stray, want 3", n)
+	}
+}
+
 // TestEarlyAnswer has a target that answers before it has read a long body and reads on: it must get no other bytes.
 func TestEarlyAnswer(t *testing.T) {
 	var other atomic.Bool
