--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -46,10 +46,6 @@
 // Service is a set of targets that answer the same requests.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of all instances together to one target.
-	MaxConnections int
-	// ColdTime is how long a target is cold after its start.
-	ColdTime time.Duration
 	// ColdRate is the number of requests a second that a cold target tolerates from all instances; zero sets no bound.
 	ColdRate float64
 }
@@ -204,12 +200,3 @@
 	s, ok := i.services[name]
 	return s, ok
 }
-
-// Teams returns all teams in no order.
-func (i *Intent) Teams() []Team {
-	teams := make([]Team, 0, len(i.teams))
-	for _, t := range i.teams {
-		teams = append(teams, t)
-	}
-	return teams
-}
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -55,8 +55,6 @@
 	// Body is the first part, Rest what follows or nil; whoever takes the answer closes Rest.
 	Body []byte
 	Rest io.ReadCloser
-	// Fresh is true if the connection was new.
-	Fresh bool
 }
 
 // ErrStray is returned when a connection brought answers to other requests and none to this one.
@@ -71,7 +69,7 @@
 // Do makes the attempt. It returns *ErrNotSent if no byte of the request can have reached the target, and *ErrBroken if
 // the request may have run and no whole answer came. It never repeats anything by itself.
 func (p *Pool) Do(ctx context.Context, x Exchange) (*Answer, error) {
-	c, fresh, err := p.get(ctx, x.Address, x.MaxIdle, x.Deadline)
+	c, err := p.get(ctx, x.Address, x.MaxIdle, x.Deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +93,6 @@
 		}
 		return nil, &ErrBroken{Cause: err}
 	}
-	answer.Fresh = fresh
 	if answer.Rest != nil {
 		answer.Rest = &rest{Reader: answer.Rest, close: func() { stop(); _ = c.Close() }}
 		return answer, nil
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -64,9 +64,8 @@
 	}
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one that is open before the deadline. The second
-// result is true for a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, bool, error) {
+// get returns a connection that was idle for at most maxIdle, or a new one that is open before the deadline.
+func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, error) {
 	for {
 		c := p.pop(address)
 		if c == nil {
@@ -77,15 +76,15 @@
 			_ = c.Close()
 			continue
 		}
-		return c, false, nil
+		return c, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	opened, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, true, &ErrNotSent{Cause: err}
+		return nil, &ErrNotSent{Cause: err}
 	}
-	return &conn{Conn: opened, reader: bufio.NewReader(opened), idleLimit: defaultIdle}, true, nil
+	return &conn{Conn: opened, reader: bufio.NewReader(opened), idleLimit: defaultIdle}, nil
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -73,7 +73,7 @@
 type EdgeBounds struct {
 	// RevokeWithin is how soon a withdrawn key must have stopped working.
 	RevokeWithin time.Duration `yaml:"revoke-within"`
-	// RetryRatio and RetryReserve bound the repeats to a service in RetryWindow: a part of its requests and a number.
+	// RetryRatio and RetryReserve bound the repeats to a service by all instances: a part of its requests and a number besides.
 	RetryRatio   float64 `yaml:"retry-ratio"`
 	RetryReserve float64 `yaml:"retry-reserve"`
 	// RateWindow is the time over which a team's requests are counted; RateOverrun and RateSlack are the tolerance, a part
