Name objects by route and leave old idle connections to requests that may use them

A request that must not run twice closed every idle connection that was too old for it. Ruled out: warmth by cookie alone (first and other-route attempts take the same time); a bound on connections.

--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -351,6 +351,25 @@
 	}
 }
 
+// TestObjectsOfTwoRoutesAreDifferent sends the same cookies on two routes: a target that has served one of them does not
+// know the other.
+func TestObjectsOfTwoRoutesAreDifferent(t *testing.T) {
+	s := newSite(t, 8, func(w http.ResponseWriter, _ *http.Request, _ int) { w.Header().Set(names.Seal, "sealed") })
+	apart := 0
+	for n := range 12 {
+		for _, path := range []string{"/read/x", "/open/x"} {
+			s.send(t, http.MethodGet, path, "", "Authorization", "Bearer secret-key", "Cookie", fmt.Sprint("object=", n))
+		}
+		got := s.arrivals()
+		if got[len(got)-1].target != got[len(got)-2].target {
+			apart++
+		}
+	}
+	if apart < 6 {
+		t.Errorf("%d of 12 cookies have different targets on two routes, want most", apart)
+	}
+}
+
 func TestSplitFollowsWeights(t *testing.T) {
 	s := newSite(t, 1, sealed)
 	s.setIntent(t, 2, func(c *intent.Content) {
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -75,14 +75,10 @@
 func (f *Forwarder) query(c *call) placement.Query {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.ID))
-	q := placement.Query{
-		Service: c.service, Spread: h.Sum64(), HomeRegions: c.homes, Goal: c.route.LatencyGoal, Excluded: c.excluded,
+	return placement.Query{
+		Service: c.service, Object: c.object, Spread: h.Sum64(), HomeRegions: c.homes, Goal: c.route.LatencyGoal, Excluded: c.excluded,
 		Room: f.room(c), TimeLeft: time.Until(c.ends),
 	}
-	if c.route.Sticky {
-		q.Object = c.Object
-	}
-	return q
 }
 
 // noTarget answers a request for which there is no target.
@@ -134,7 +130,7 @@
 	}
 	took := time.Since(began)
 	ejected := f.Loads.End(placement.Attempt{
-		Target: choice.Target, Service: c.service, Object: c.Object, Goal: c.route.LatencyGoal, Took: took,
+		Target: choice.Target, Service: c.service, Object: c.object, Goal: c.route.LatencyGoal, Took: took,
 		Load: choice.Load, Warm: choice.Warm, Outcome: outcome, Report: report,
 	})
 	f.Meter.Count("medlarpond_attempts_total", "outcome", v.String())
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -135,7 +135,9 @@
 	route   *intent.Route
 	team    intent.Team
 	service string
-	homes   []string
+	// object names what a request on a sticky route concerns; empty for none. Targets know objects by route.
+	object string
+	homes  []string
 	// ends is when the final answer is due.
 	ends time.Time
 	// excluded lists the targets that were tried.
@@ -191,6 +193,9 @@
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
 	}
 	c.homes = route.HomeRegions
+	if route.Sticky && c.Object != "" {
+		c.object = route.Name + "/" + c.Object
+	}
 	if !route.Open {
 		if refused := f.authorize(c); refused != nil {
 			return refused
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -21,7 +21,7 @@
 	// maxStrays bounds the answers to other requests that are skipped on one connection.
 	maxStrays = 3
 	// keepAliveFraction is the part of the idle time announced by a target in which a connection is used again.
-	keepAliveFraction = 0.5
+	keepAliveFraction = 0.85
 )
 
 // Message is a request as a target receives it.
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -192,6 +192,40 @@
 	}
 }
 
+// TestOldConnectionIsLeftToOthers sends a request that must not use a connection as old as the idle one.
+func TestOldConnectionIsLeftToOthers(t *testing.T) {
+	var connections atomic.Int64
+	address := rawServer(t, func(c net.Conn, number int) {
+		connections.Add(1)
+		r := bufio.NewReader(c)
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, id))
+			if number > 0 {
+				return
+			}
+		}
+	})
+	p := target.NewPool()
+	for _, x := range []struct {
+		id      string
+		maxIdle time.Duration
+	}{{"a", time.Second}, {"b", 10 * time.Millisecond}, {"c", time.Second}} {
+		e := exchange(address, x.id)
+		e.MaxIdle = x.maxIdle
+		if _, err := p.Do(t.Context(), e); err != nil {
+			t.Errorf("request %s: %v", x.id, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if n := connections.Load(); n != 2 {
+		t.Errorf("%d connections were opened, want 2", n)
+	}
+}
+
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -67,12 +67,11 @@
 // get returns a connection that was idle for at most maxIdle, or a new one that is open before the deadline.
 func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, maxIdle)
 		if c == nil {
 			break
 		}
-		age := time.Since(c.idleSince)
-		if age > min(maxIdle, c.idleLimit) || !c.quiet() {
+		if time.Since(c.idleSince) > c.idleLimit || !c.quiet() {
 			_ = c.Close()
 			continue
 		}
@@ -87,11 +86,13 @@
 	return &conn{Conn: opened, reader: bufio.NewReader(opened), idleLimit: defaultIdle}, nil
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop takes the newest idle connection, unless it was idle for longer than maxIdle: then it is left for a request that
+// may use it.
+func (p *Pool) pop(address string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
+	if len(list) == 0 || time.Since(list[len(list)-1].idleSince) > maxIdle {
 		return nil
 	}
 	c := list[len(list)-1]
