Tell the instances of a failure domain of each other's load on targets

Cause: several instances of a failure domain use the same targets and knew of each other only by reports in answers, one every few seconds for each target. Between reports the load from outside fades to what targets around report, an attempt without an answer counts as a slow one, and a request that cannot end in its time is refused at once. A target that sheds though it has free slots is asked once more, as another one would not know the object.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -18,10 +18,13 @@
 	"medlarpond.dev/core/modules/duty"
 	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/modules/meter"
+	"medlarpond.dev/core/modules/peer"
 	"medlarpond.dev/core/routers/front"
+	peerrouter "medlarpond.dev/core/routers/peer"
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
 	"medlarpond.dev/core/settings"
@@ -74,8 +77,12 @@
 	// forwarder decides about requests, router speaks to callers.
 	forwarder *forward.Forwarder
 	router    *front.Router
-	meter     *meter.Meter
-	leaving   atomic.Bool
+	// teller speaks to the neighbors, which peers answers; calls holds the connections to them.
+	teller  *neighbor.Teller
+	peers   *peer.Server
+	calls   *peer.Pool
+	meter   *meter.Meter
+	leaving atomic.Bool
 }
 
 // New assembles an instance; headers are those of its callers and targets.
@@ -105,7 +112,15 @@
 		Objects:        s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
-	e := &Edge{settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New()}
+	e := &Edge{
+		settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New(), peers: peer.NewServer(), calls: peer.NewPool(),
+	}
+	e.teller = neighbor.New(neighbor.Parts{
+		Self: s.Instance.ID, Place: own, State: state, Loads: loads, Tell: peerrouter.TellLoads(e.calls), Logger: logger,
+	})
+	if err := peerrouter.RegisterLoads(e.peers, loads.Hear); err != nil {
+		logger.Error("cannot answer neighbors", zap.Error(err))
+	}
 	e.forwarder = forward.New(forward.Parts{
 		State: state, Placement: chooser, Loads: loads, Allowances: allowances, Retries: retries, Pool: e.pool,
 		Headers: headers, Meter: e.meter, Logger: logger,
@@ -181,38 +196,44 @@
 	defer tree.Stop()
 	caller := e.server(e.router)
 	others := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
+	defer closeAll(others)
 	for _, s := range []struct {
 		name, address string
-		server        *http.Server
+		serve         func(net.Listener) error
 	}{
-		{"caller-server", e.settings.Listen.Caller, caller},
-		{"lookup-server", e.settings.Listen.Lookup, others[0]},
-		{"ready-server", e.settings.Listen.Ready, others[1]},
-		{"metrics-server", e.settings.Listen.Metrics, others[2]},
+		{"caller-server", e.settings.Listen.Caller, caller.Serve},
+		{"lookup-server", e.settings.Listen.Lookup, others[0].Serve},
+		{"ready-server", e.settings.Listen.Ready, others[1].Serve},
+		{"metrics-server", e.settings.Listen.Metrics, others[2].Serve},
+		{"peer-server", e.settings.Listen.Peer, e.peers.Serve},
 	} {
+		if s.address == "" {
+			continue
+		}
 		var c net.ListenConfig
 		l, err := c.Listen(ctx, "tcp", s.address)
 		if err != nil {
 			_ = caller.Close()
-			closeAll(others)
 			return trace.Wrap(err, "listening on %s", s.address)
 		}
-		server := s.server
+		defer func() { _ = l.Close() }()
 		tree.Start(duty.Duty{Name: s.name, Run: func(context.Context) error {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
 		}})
 	}
+	defer e.peers.Close()
+	defer e.calls.Close()
 	tree.Start(duty.Duty{Name: "target-connections", Run: e.pool.Run})
+	tree.Start(duty.Duty{Name: "neighbors", Run: e.teller.Run})
 	for _, d := range p.Duties {
 		tree.Start(d)
 	}
 	e.logger.Info("started", zap.String("caller", e.settings.Listen.Caller))
 	<-ctx.Done()
 	e.stop(p, caller)
-	closeAll(others)
 	return nil
 }
 
--- a/core/models/roster/roster.go
+++ b/core/models/roster/roster.go
@@ -45,6 +45,7 @@
 type Instance struct {
 	ID    string
 	Place Place
-	// Caller is the address for callers.
+	// Caller is the address for callers and Peer the one for other instances; Peer is empty if they cannot call it.
 	Caller string
+	Peer   string
 }
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -370,6 +370,37 @@
 	}
 }
 
+// TestTargetThatShedsAtRandomIsAskedAgain lets targets refuse requests though they say that they have room.
+func TestTargetThatShedsAtRandomIsAskedAgain(t *testing.T) {
+	for _, x := range []struct {
+		load string
+		same bool
+	}{{"1,0,3", true}, {"3,9,3", false}, {"", false}} {
+		s := newSite(t, 8, func(w http.ResponseWriter, _ *http.Request, n int) {
+			if x.load != "" {
+				w.Header().Set(names.Load, x.load)
+			}
+			if n < 3 {
+				w.Header().Set(names.NotRun, "busy")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			w.Header().Set(names.Seal, "sealed")
+		})
+		response, _ := s.send(t, http.MethodGet, "/read/x", "", "Authorization", "Bearer secret-key", "Cookie", "object=1")
+		got := s.arrivals()
+		if response.StatusCode != http.StatusOK || len(got) != 3 {
+			t.Fatalf("load %q: status %d after %d attempts, want 200 after 3", x.load, response.StatusCode, len(got))
+		}
+		if same := got[0].target == got[1].target; same != x.same {
+			t.Errorf("load %q: the second attempt went to the same target: %t, want %t", x.load, same, x.same)
+		}
+		if got[2].target == got[1].target {
+			t.Errorf("load %q: a target was asked three times", x.load)
+		}
+	}
+}
+
 func TestSplitFollowsWeights(t *testing.T) {
 	s := newSite(t, 1, sealed)
 	s.setIntent(t, 2, func(c *intent.Content) {
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -52,13 +52,17 @@
 			break
 		}
 		answer, v, arrived := f.attempt(ctx, c, choice)
+		again := v == verdictNotRun && f.hasRoom(answer) && c.last != choice.Target.ID
+		c.last = choice.Target.ID
 		if v == verdictDone {
 			return answer, nil
 		}
 		if arrived {
 			arrivals++
 		}
-		c.excluded = append(c.excluded, choice.Target.ID)
+		if !again {
+			c.excluded = append(c.excluded, choice.Target.ID)
+		}
 		if v == verdictFailed {
 			failure = answer
 		}
@@ -178,6 +182,16 @@
 	}
 }
 
+// hasRoom reports whether a target that refused a request says that it has free slots: it refuses at random then, and
+// another target would not know the object.
+func (f *Forwarder) hasRoom(refused *target.Answer) bool {
+	if refused == nil || refused.Header.Get(f.Headers.NotRun) == "" {
+		return false
+	}
+	r := parseLoad(refused.Header.Get(f.Headers.Load))
+	return r.Known && r.Running+r.Waiting < r.Slots
+}
+
 // message is the request as the target receives it.
 func (f *Forwarder) message(c *call, choice placement.Choice) target.Message {
 	h := c.Header.Clone()
@@ -224,7 +238,7 @@
 		zap.Duration("expected", choice.Expected), zap.Duration("took", took), zap.String("outcome", v.String()),
 	}
 	if a != nil {
-		fields = append(fields, zap.Int("status", a.Status))
+		fields = append(fields, zap.Int("status", a.Status), zap.String("target-load", a.Header.Get(f.Headers.Load)))
 	}
 	if err != nil {
 		var broken *target.ErrBroken
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -140,8 +140,9 @@
 	homes  []string
 	// ends is when the final answer is due.
 	ends time.Time
-	// excluded lists the targets that were tried.
+	// excluded lists the targets that are not tried again, last is the one that was tried last.
 	excluded []string
+	last     string
 	// ran is the number of targets that may have run the request.
 	ran int
 	// charged is true while the team's allowance is charged.
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -18,8 +18,14 @@
 	failureHalfLife = 3 * time.Second
 	// ejectionThreshold is the weight of failures without a success at which a target is left out.
 	ejectionThreshold = 2.5
-	// lateWeight is the weight of a request that got no answer in its time, relative to a failure.
-	lateWeight = 0.3
+	// The weights of outcomes against ejectionThreshold: a failure, a refusal without a reason, one for a full queue, and no
+	// answer in the time of the request, which a full queue explains too.
+	failedWeight  = 1.0
+	refusedWeight = 0.5
+	fullWeight    = 0.25
+	lateWeight    = 0.3
+	// suspectFraction is the part of ejectionThreshold that evidence reaches which must not eject a target by itself.
+	suspectFraction = 0.9
 	// firstEjection and maxEjection bound how long a target is left out; the time doubles with each ejection in a row.
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
@@ -73,8 +79,14 @@
 	mu sync.Mutex
 	// targets is keyed by ID.
 	targets map[string]*load
-	// work is keyed by service.
-	work map[workKey]*work
+	work    map[workKey]*work
+	// usual is the load from outside that the targets of a failure domain have reported lately.
+	usual map[usualKey]*usual
+	// neighbors is keyed by the ID of an instance.
+	neighbors map[string]neighbor
+	// news holds the last attempts for neighbors; the first has the number firstNews.
+	news      []News
+	firstNews uint64
 }
 
 // load is the state of one target.
@@ -82,8 +94,10 @@
 	started int64
 	// mine is the number of this instance's attempts under way.
 	mine int
-	// others is the load from other instances at reportedAt.
-	others     float64
+	// usual is shared by the targets of a service in a failure domain; nil if only neighbors have used the target.
+	usual *usual
+	// outside is the load from instances that are no neighbors, at reportedAt.
+	outside    float64
 	reportedAt time.Time
 	// objects maps recently served objects to when they were last served; at most keptObjects.
 	objects map[string]time.Time
@@ -110,7 +124,9 @@
 
 // NewLoads returns loads that know nothing.
 func NewLoads() *Loads {
-	return &Loads{targets: map[string]*load{}, work: map[workKey]*work{}}
+	return &Loads{
+		targets: map[string]*load{}, work: map[workKey]*work{}, usual: map[usualKey]*usual{}, neighbors: map[string]neighbor{},
+	}
 }
 
 type estimate struct {
@@ -134,6 +150,9 @@
 		known = &load{started: t.Started, mine: mine, objects: map[string]time.Time{}, slowness: 1}
 		l.targets[t.ID] = known
 	}
+	if known.usual == nil && t.Service != "" {
+		known.usual = l.usualOf(t)
+	}
 	return known
 }
 
@@ -164,7 +183,7 @@
 	w := l.workOf(service, goal)
 	// After an ejection one attempt at a time shows whether the target is back.
 	trying := known.ejections > 0 && known.mine > 0
-	e := estimate{load: known.total(now), ejected: trying || now.Before(known.ejectedUntil)}
+	e := estimate{load: l.total(t.ID, known, now), ejected: trying || now.Before(known.ejectedUntil)}
 	if _, e.warm = known.objects[object]; first && object != "" {
 		e.warm = true
 	}
@@ -184,8 +203,10 @@
 	return e
 }
 
-func (k *load) total(now time.Time) float64 {
-	return float64(k.mine) + k.others*decay(now.Sub(k.reportedAt), reportHalfLife)
+// total is the load of a target. What it has reported of others loses weight against what the targets around it report.
+func (l *Loads) total(id string, k *load, now time.Time) float64 {
+	weight := decay(now.Sub(k.reportedAt), reportHalfLife)
+	return float64(k.mine) + l.near(id, now) + k.outside*weight + k.usual.at(now)*(1-weight)
 }
 
 func (k *load) failed(now time.Time) float64 {
@@ -231,29 +252,43 @@
 	known := l.of(a.Target)
 	known.mine = max(0, known.mine-1)
 	now := time.Now()
+	news := News{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad}
 	if a.Report.Known {
-		known.others = math.Max(0, float64(a.Report.Running+a.Report.Waiting-known.mine))
+		known.outside = max(0, float64(a.Report.Running+a.Report.Waiting-known.mine)-l.near(a.Target.ID, now))
 		known.reportedAt = now
+		known.usual.learn(known.outside, now)
+		news.Outside = known.outside
 	}
 	switch a.Outcome {
 	case OutcomeAnswered:
 		known.failures, known.failedAt, known.ejections = known.failed(now)/2, now, 0
 		known.remember(a.Object, now)
 		l.learn(known, a, now)
+		news.Object, news.Answered = a.Object, true
 	case OutcomeFailed:
-		return known.fail(1, now)
+		news.Failure = failedWeight
 	case OutcomeRefused:
-		if !a.Report.Known {
-			return known.fail(0.5, now)
+		if a.Report.Known {
+			known.suspect(fullWeight, now)
+		} else {
+			news.Failure = refusedWeight
 		}
-		known.failures, known.failedAt = min(known.failed(now)+0.25, ejectionThreshold*0.9), now
 	case OutcomeLate:
-		return known.fail(lateWeight, now)
+		news.Failure = lateWeight
+		known.late(a.Took, l.workOf(a.Service, a.Goal), now)
 	case OutcomeUnreachable, OutcomeMisdirected:
-		return known.fail(ejectionThreshold, now)
+		news.Failure = ejectionThreshold
 	case OutcomeCancelled:
 	}
-	return false
+	l.tell(news)
+	return news.Failure > 0 && known.fail(news.Failure, now)
+}
+
+// late takes an attempt that has got no answer in its time, as one that takes at least as long.
+func (k *load) late(took time.Duration, w *work, now time.Time) {
+	if present := k.slow(now); took.Seconds() > w.cold*present {
+		k.slowness, k.slowAt = min(present+slownessGain*(took.Seconds()/w.cold-present), maxSlowness), now
+	}
 }
 
 // learn takes the time of an attempt that did not wait for a slot.
@@ -278,6 +313,12 @@
 	known.slowness, known.slowAt = ratio, now
 }
 
+// suspect adds evidence that does not eject the target by itself.
+func (k *load) suspect(weight float64, now time.Time) {
+	present := k.failed(now)
+	k.failures, k.failedAt = max(present, min(present+weight, ejectionThreshold*suspectFraction)), now
+}
+
 func (k *load) fail(weight float64, now time.Time) bool {
 	k.failures, k.failedAt = k.failed(now)+weight, now
 	if k.failures < ejectionThreshold || now.Before(k.ejectedUntil) {
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -128,7 +128,7 @@
 			// Work on an object that is new to the target takes several times as long, so it is worth it in free slots only.
 			room = 0
 		}
-		if e.load+1 > float64(t.Slots)*(1+room) || e.wait > q.TimeLeft {
+		if e.load+1 > float64(t.Slots)*(1+room) || (e.wait > 0 && e.expected > q.TimeLeft) {
 			full = true
 			continue
 		}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -32,6 +32,8 @@
 	// Ready receives the platform's checks, Metrics the readers of metrics.
 	Ready   string `yaml:"ready"`
 	Metrics string `yaml:"metrics"`
+	// Peer receives the calls of other instances; empty for an instance that does without them.
+	Peer string `yaml:"peer"`
 }
 
 // EdgeStore says where the platform's store is and how it is asked.
@@ -170,9 +172,10 @@
 		{"listen.ready", e.Listen.Ready},
 		{"listen.metrics", e.Listen.Metrics},
 		{"store.address", e.Store.Address},
+		{"listen.peer", e.Listen.Peer},
 	} {
 		_, err := netip.ParseAddrPort(a.address)
-		c.require(err == nil, a.setting, address)
+		c.require(err == nil || (a.address == "" && a.setting == "listen.peer"), a.setting, address)
 	}
 	c.require(e.FailureDomains[e.Instance.FailureDomain] == e.Instance.Region, "failure-domains",
 		"must name the failure domain of the instance with its region")
