Follow the store through one instance of a failure domain

Change: every instance keeps the latest changes of each topic in a log (relay). Ruled out: watching for longer (the age of keys binds); a leader for a region (its bytes between zones cost what the calls save).

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -26,6 +26,7 @@
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
+	"medlarpond.dev/core/services/relay"
 	"medlarpond.dev/core/services/target"
 	"medlarpond.dev/core/settings"
 )
@@ -34,6 +35,8 @@
 	// confirmFraction is the part of the bound on withdrawn keys for which contact with the store is trusted; the rest
 	// covers the second in which a store may not report changes.
 	confirmFraction = 0.88
+	// relayFraction is the part of the bound on withdrawn keys for which a question to another instance waits.
+	relayFraction = 0.05
 	// evacuationFraction is the part of the bound on evacuations over which requests leave a failure domain.
 	evacuationFraction = 0.6
 	// shiftSpeed turns the bound on shifts within two seconds into a speed that uses two fifths of it; spillFraction of it
@@ -77,8 +80,9 @@
 	// forwarder decides about requests, router speaks to callers.
 	forwarder *forward.Forwarder
 	router    *front.Router
-	// teller speaks to the neighbors, which peers answers; calls holds the connections to them.
+	// teller and relay speak to the neighbors, which peers answers; calls holds the connections to them.
 	teller  *neighbor.Teller
+	relay   *relay.Relay
 	peers   *peer.Server
 	calls   *peer.Pool
 	meter   *meter.Meter
@@ -118,7 +122,13 @@
 	e.teller = neighbor.New(neighbor.Parts{
 		Self: s.Instance.ID, Place: own, State: state, Loads: loads, Tell: peerrouter.TellLoads(e.calls), Logger: logger,
 	})
-	if err := peerrouter.RegisterLoads(e.peers, loads.Hear); err != nil {
+	e.relay = relay.New(relay.Parts{
+		Self: s.Instance.ID, Place: own, State: state, Ask: peerrouter.AskChanges(e.calls), Logger: logger,
+		Wait: time.Duration(relayFraction * float64(s.Bounds.RevokeWithin)),
+	})
+	if err := errors.Join(
+		peerrouter.RegisterLoads(e.peers, loads.Hear), peerrouter.RegisterChanges(e.peers, e.relay.Answer),
+	); err != nil {
 		logger.Error("cannot answer neighbors", zap.Error(err))
 	}
 	e.forwarder = forward.New(forward.Parts{
@@ -138,6 +148,9 @@
 // State returns the beliefs that the platform's duties keep up to date.
 func (e *Edge) State() *belief.State { return e.state }
 
+// Relay returns the way to the store through other instances.
+func (e *Edge) Relay() *relay.Relay { return e.relay }
+
 // Meter returns the metrics of the instance.
 func (e *Edge) Meter() *meter.Meter { return e.meter }
 
@@ -218,7 +231,7 @@
 		}
 		defer func() { _ = l.Close() }()
 		tree.Start(duty.Duty{Name: s.name, Run: func(context.Context) error {
-			if err := s.serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return err
 			}
 			return nil
--- a/core/services/placement/neighbors_test.go
+++ b/core/services/placement/neighbors_test.go
@@ -10,9 +10,9 @@
 	"medlarpond.dev/core/services/placement"
 )
 
-// pass hands what one instance has to tell to another and returns the number to go on from.
-func pass(from, to *placement.Loads, name string, since uint64) uint64 {
-	told, next := from.Tell(since)
+// pass hands all that one instance has to tell to another and returns the number to go on from.
+func pass(from, to *placement.Loads, name string) uint64 {
+	told, next := from.Tell(0)
 	to.Hear(name, told)
 	return next
 }
@@ -30,8 +30,8 @@
 			if _, _, ok := p.Choose(query("x")); ok {
 				sent++
 			}
-			pass(ofA, ofB, "a", 0)
-			pass(ofB, ofA, "b", 0)
+			pass(ofA, ofB, "a")
+			pass(ofB, ofA, "b")
 		}
 	}
 	// Slots and what may wait for them, as in TestFullTargetsSpillIntoFreeSlotsOnly.
@@ -52,7 +52,7 @@
 				break
 			}
 		}
-		pass(ofA, ofB, "a", 0)
+		pass(ofA, ofB, "a")
 		if _, _, ok := b.Choose(query("x")); ok {
 			t.Error("a target that a neighbor has filled gets more")
 		}
@@ -88,7 +88,7 @@
 	ofB.End(placement.Attempt{
 		Target: second.Target, Service: "orders", Object: "x", Goal: goal, Took: goal, Outcome: placement.OutcomeAnswered,
 	})
-	next := pass(ofB, ofA, "b", 0)
+	next := pass(ofB, ofA, "b")
 	if next != 1 {
 		t.Fatalf("one attempt was told as %d", next)
 	}
@@ -112,7 +112,7 @@
 		ofB.Begin(target)
 		ofB.End(placement.Attempt{Target: target, Service: "orders", Goal: goal, Outcome: placement.OutcomeUnreachable})
 	}
-	pass(ofB, ofA, "b", 0)
+	pass(ofB, ofA, "b")
 	if _, _, ok := a.Choose(query("x")); !ok {
 		t.Error("a target is left out for failures that only a neighbor has seen")
 	}
