Trust idle connections until one is found forgotten

Change: such requests use connections of any age that the target permits (at most 8 s) until one is reset as soon as something is sent on it; then half of its age is the bound, which doubles every 5 s. A reset while the target is at work says nothing.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -125,7 +125,7 @@
 	}
 	answer, err := f.Pool.Do(ctx, target.Exchange{
 		Address: choice.Target.Address, Message: f.message(c, choice), IDHeader: f.Headers.RequestID, ID: c.ID,
-		Deadline: c.ends.Add(answerMargin), MaxIdle: idle,
+		Deadline: c.ends.Add(answerMargin), MaxIdle: idle, Once: !c.route.Idempotent,
 	})
 	v, outcome := f.judge(ctx, c, answer, err)
 	report := placement.Report{}
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -46,6 +46,8 @@
 	Deadline time.Time
 	// MaxIdle is the age of an idle connection up to which it may be used.
 	MaxIdle time.Duration
+	// Once is true for a request that must not run twice; it uses only connections that are not likely to be forgotten.
+	Once bool
 }
 
 // Answer is a target's answer to one request.
@@ -69,7 +71,11 @@
 // Do makes the attempt. It returns *ErrNotSent if no byte of the request can have reached the target, and *ErrBroken if
 // the request may have run and no whole answer came. It never repeats anything by itself.
 func (p *Pool) Do(ctx context.Context, x Exchange) (*Answer, error) {
-	c, err := p.get(ctx, x.Address, x.MaxIdle, x.Deadline)
+	began, maxIdle := time.Now(), x.MaxIdle
+	if x.Once {
+		maxIdle = min(maxIdle, p.trust.limit(began))
+	}
+	c, err := p.get(ctx, x.Address, maxIdle, x.Deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -91,6 +97,9 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
+		if !c.idleSince.IsZero() {
+			p.trust.failed(err, began.Sub(c.idleSince), time.Since(began))
+		}
 		return nil, &ErrBroken{Cause: err}
 	}
 	if answer.Rest != nil {
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -226,6 +226,70 @@
 	}
 }
 
+// TestForgottenConnections serves each connection once and then answers whatever comes on it by a reset, as a target does
+// that has forgotten it.
+func TestForgottenConnections(t *testing.T) {
+	address := rawServer(t, func(c net.Conn, _ int) {
+		r := bufio.NewReader(c)
+		if id, ok := read(r); ok {
+			_, _ = io.WriteString(c, answer(id, id))
+		}
+		_, _ = r.ReadByte()
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	p := target.NewPool()
+	lost := 0
+	for n := range 12 {
+		e := exchange(address, fmt.Sprint(n))
+		e.Once = true
+		if _, err := p.Do(t.Context(), e); err != nil {
+			lost++
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	if lost != 1 {
+		t.Errorf("%d of 12 requests were lost on connections that the target had forgotten, want 1", lost)
+	}
+	// A request that may be repeated still tries them.
+	e := exchange(address, "repeatable")
+	if _, err := p.Do(t.Context(), e); err == nil {
+		t.Error("an idle connection was not used")
+	}
+}
+
+// TestCrashIsNoForgottenConnection breaks connections while the target is at work.
+func TestCrashIsNoForgottenConnection(t *testing.T) {
+	var connections atomic.Int64
+	address := rawServer(t, func(c net.Conn, number int) {
+		connections.Add(1)
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			if number == 0 && n == 1 {
+				time.Sleep(200 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, id))
+		}
+	})
+	p := target.NewPool()
+	for n := range 6 {
+		e := exchange(address, fmt.Sprint(n))
+		e.Once = true
+		if _, err := p.Do(t.Context(), e); (err != nil) != (n == 1) {
+			t.Errorf("request %d: %v", n, err)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	if n := connections.Load(); n != 2 {
+		t.Errorf("%d connections, want 2: the crash must not cost trust in the others", n)
+	}
+}
+
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -31,6 +31,8 @@
 type Pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
+	trust trust
+
 	mu sync.Mutex
 	// idle holds the unused connections of each address, the newest last.
 	idle   map[string][]*conn
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -157,7 +157,7 @@
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
 		Requests: EdgeRequests{
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
-			SafeIdle: 9 * time.Second, UnsafeIdle: 2500 * time.Millisecond, UrgentRoom: 2, OtherRoom: 1.5,
+			SafeIdle: 9 * time.Second, UnsafeIdle: 8 * time.Second, UrgentRoom: 2, OtherRoom: 1.5,
 		},
 		Log: Log{Level: "info"},
 	}
