Leave what homed teams need of a region to them

Cause: the parts of regions took every request for one that may be served anywhere. Change: the rates of teams say which part of all requests has its home in a region; only the rest of the region is dealt to others, at least a tenth.

--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -82,6 +82,8 @@
 	// teamRanks and routeRanks hold the priorities that occur, ascending; routeRanks by service.
 	teamRanks  []int
 	routeRanks map[string][]int
+	// homed is what Homed returns.
+	homed map[string]float64
 }
 
 // Content is what an intent is made from.
@@ -100,7 +102,7 @@
 	i := &Intent{
 		Version: c.Version, Limits: c.Limits, keys: c.Keys,
 		services: map[string]Service{}, teams: map[string]Team{}, hosts: map[string][]*Route{},
-		routeRanks: map[string][]int{},
+		routeRanks: map[string][]int{}, homed: homed(c.Teams),
 	}
 	for _, s := range c.Services {
 		i.services[s.Name] = s
@@ -195,6 +197,25 @@
 	return i.teams[name], true
 }
 
+// Homed returns the part of all requests that must be served in a region, by region, as far as the rates of teams tell.
+func (i *Intent) Homed() map[string]float64 { return i.homed }
+
+func homed(teams []Team) map[string]float64 {
+	rates, total := map[string]float64{}, 0.0
+	for _, t := range teams {
+		total += t.Rate
+		for _, region := range t.HomeRegions {
+			rates[region] += t.Rate / float64(len(t.HomeRegions))
+		}
+	}
+	if total > 0 {
+		for region := range rates {
+			rates[region] /= total
+		}
+	}
+	return rates
+}
+
 // Service returns a service by name.
 func (i *Intent) Service(name string) (Service, bool) {
 	s, ok := i.services[name]
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -84,8 +84,9 @@
 
 // plan is what is worked out once for each view.
 type plan struct {
-	number  uint64
-	service string
+	// number and version are those of the view and of the intent.
+	number, version uint64
+	service         string
 	shares  shares
 	glide   glide
 	// byDomain holds the usable targets of each failure domain; evacuated ones while their ramp lasts.
@@ -224,7 +225,7 @@
 		key.homes += r + "\n"
 	}
 	pl := p.plans[key]
-	if pl == nil || pl.number != view.Number {
+	if pl == nil || pl.number != view.Number || pl.version != versionOf(view) {
 		next := p.newPlan(view, q)
 		if pl != nil {
 			next.glide = pl.glide
@@ -244,8 +245,11 @@
 		_, evacuated := view.Evacuated[t.Place.FailureDomain]
 		return permitted(t) && !evacuated
 	})
+	if len(q.HomeRegions) == 0 && view.Intent != nil {
+		c = c.without(view.Intent.Homed())
+	}
 	pl := &plan{
-		number: view.Number, service: q.Service, byDomain: map[roster.Place][]entry{},
+		number: view.Number, version: versionOf(view), service: q.Service, byDomain: map[roster.Place][]entry{},
 		shares: sharesOf(c, p.origins, p.own, scopeOf(c, p.origins, p.policy.Objects)),
 	}
 	for _, t := range targets {
@@ -260,6 +264,13 @@
 	return pl
 }
 
+func versionOf(view *belief.View) uint64 {
+	if view.Intent == nil {
+		return 0
+	}
+	return view.Intent.Version
+}
+
 // order returns the failure domains in the order in which an object uses them: its region by the parts of the regions,
 // then the region's failure domains by theirs, then the other regions.
 func (pl *plan) order(object uint64, regions map[string]float64, own roster.Place) []roster.Place {
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -166,6 +166,42 @@
 	}
 }
 
+// TestHomedTeamsKeepTheirRegion gives a team whose home is a small region most of what that region can run: other requests
+// of the region's callers go elsewhere.
+func TestHomedTeamsKeepTheirRegion(t *testing.T) {
+	w := newWorld()
+	w.spread(2, east1)
+	w.spread(9, west1, west2)
+	part := func(homes ...string) float64 {
+		i, err := intent.New(intent.Content{Version: w.revision, Teams: []intent.Team{
+			{Name: "large", Rate: 100, HomeRegions: homes}, {Name: "rest", Rate: 900},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.state.SetIntent(i, w.revision)
+		w.revision++
+		p, l := w.placement("a", east1)
+		there := 0.0
+		for n := range 2000 {
+			if choose(t, p, l, query(fmt.Sprint(n))).Place == east1 {
+				there++
+			}
+		}
+		return there / 2000
+	}
+	// Two of five callers are in east, which can run a tenth of all.
+	if got := part(); math.Abs(got-0.25) > 0.04 {
+		t.Errorf("without homed teams %.2f of the objects stay, want 0.25", got)
+	}
+	if got := part("west"); math.Abs(got-0.25) > 0.08 {
+		t.Errorf("with a team at home elsewhere %.2f of the objects stay, want about 0.25", got)
+	}
+	if got := part("east"); got > 0.06 {
+		t.Errorf("%.2f of the objects stay in a region that a team at home there fills", got)
+	}
+}
+
 func TestEvacuationEmptiesWithinItsBoundAndStepByStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
--- a/core/services/placement/shares.go
+++ b/core/services/placement/shares.go
@@ -8,6 +8,10 @@
 	"medlarpond.dev/core/models/roster"
 )
 
+// minLeft is the least part of a region that is left for requests that may be served anywhere: what rates tell of demand is
+// rough, and a region that is used for nothing else is cold when it is needed.
+const minLeft = 0.1
+
 // shares says which part of the requests from one failure domain goes to which failure domain.
 type shares struct {
 	// regions maps each region to its part; the sum is 1.
@@ -36,6 +40,20 @@
 	return c
 }
 
+// without returns what is left for requests that may be served anywhere; parts are those of requests that may not.
+func (c capacity) without(parts map[string]float64) capacity {
+	left := capacity{slots: map[roster.Place]float64{}, regions: map[string]float64{}}
+	for place, slots := range c.slots {
+		if region := c.regions[place.Region]; region > 0 {
+			slots *= max(minLeft, 1-parts[place.Region]*c.total/region)
+		}
+		left.slots[place] = slots
+		left.regions[place.Region] += slots
+		left.total += slots
+	}
+	return left
+}
+
 // dealing assigns capacity to the places from which requests come: each uses its own targets first, then free ones of
 // its region, then free ones elsewhere. Near targets save bytes on links.
 type dealing struct {
