--- a/core/services/neighbor/neighbor.go
+++ b/core/services/neighbor/neighbor.go
@@ -72,10 +72,10 @@
 func (t *Teller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		neighbors := t.neighbors()
+		pause := Interval * time.Duration(max(len(neighbors), fullRate)) / fullRate
 		for _, n := range neighbors {
-			t.tell(ctx, n)
+			t.tell(ctx, n, pause)
 		}
-		pause := Interval * time.Duration(max(len(neighbors), fullRate)) / fullRate
 		if len(neighbors) == 0 {
 			pause = silencePause
 		}
@@ -107,8 +107,8 @@
 	return found
 }
 
-// tell starts a call unless one is under way or the neighbor has not answered lately.
-func (t *Teller) tell(ctx context.Context, neighbor roster.Instance) {
+// tell starts a call unless one is under way or the neighbor has not answered lately; the next is due after a pause.
+func (t *Teller) tell(ctx context.Context, neighbor roster.Instance, pause time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l, ok := t.listeners[neighbor.ID]
@@ -120,7 +120,7 @@
 		return
 	}
 	l.busy = true
-	told, next := t.Loads.Tell(l.told)
+	told, next := t.Loads.Tell(l.told, pause)
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
--- a/core/services/neighbor/neighbor_test.go
+++ b/core/services/neighbor/neighbor_test.go
@@ -24,15 +24,23 @@
 
 // listeners counts the calls to each address and answers them.
 type listeners struct {
-	mu     sync.Mutex
-	calls  map[string]int
-	news   map[string]int
-	silent map[string]bool
+	mu    sync.Mutex
+	calls map[string]int
+	news  map[string]int
+	// gap is the longest time between two calls to an address, and promised the longest that a call has announced.
+	gap, promised map[string]time.Duration
+	last          map[string]time.Time
+	silent        map[string]bool
 }
 
 func (l *listeners) tell(ctx context.Context, address string, m neighbor.Message) error {
 	l.mu.Lock()
 	l.calls[address]++
+	if last, ok := l.last[address]; ok {
+		l.gap[address] = max(l.gap[address], time.Since(last))
+	}
+	l.last[address] = time.Now()
+	l.promised[address] = max(l.promised[address], m.Told.Next)
 	silent := l.silent[address]
 	l.mu.Unlock()
 	if silent {
@@ -50,6 +58,7 @@
 	state := belief.New(zap.NewNop(), func(int) {})
 	state.SetInstances(instances)
 	l := &listeners{calls: map[string]int{}, news: map[string]int{}, silent: map[string]bool{}}
+	l.gap, l.promised, l.last = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Time{}
 	loads := placement.NewLoads()
 	teller := neighbor.New(neighbor.Parts{
 		Self: "a", Place: here, State: state, Loads: loads, Tell: l.tell, Logger: zap.NewNop(),
@@ -131,7 +140,13 @@
 		time.Sleep(7 * time.Second)
 		total := 0
 		for n := range 56 {
-			total += l.called(fmt.Sprint(n))
+			address := fmt.Sprint(n)
+			total += l.called(address)
+			l.mu.Lock()
+			if l.gap[address] > l.promised[address] {
+				t.Errorf("%s was told again after %v, announced was %v", address, l.gap[address], l.promised[address])
+			}
+			l.mu.Unlock()
 		}
 		if total < 500 || total > 640 {
 			t.Errorf("%d calls in 7 s to 56 neighbors, want about 560 as for 8 neighbors", total)
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -9,8 +9,9 @@
 const (
 	// maxNews bounds the attempts that are kept for neighbors: those of a few rounds at the highest rate of one instance.
 	maxNews = 512
-	// neighborLifetime is how long the attempts of a neighbor that has fallen silent count.
-	neighborLifetime = 600 * time.Millisecond
+	// neighborRounds is the number of rounds for which the attempts of a neighbor that has fallen silent count; a round is
+	// lost now and then.
+	neighborRounds = 6
 	// hearsayWeight is the weight of a failure that a neighbor has seen: its own way to the target may be at fault.
 	hearsayWeight = 0.5
 	// usualGain is the weight of a new report in the usual load of a failure domain.
@@ -24,6 +25,8 @@
 	// Running is the number of its attempts under way, by the ID of the target.
 	Running map[string]int
 	News    []News
+	// Next is the time until the instance tells again.
+	Next time.Duration
 }
 
 // News is what one finished attempt has shown.
@@ -43,7 +46,8 @@
 // neighbor holds what another instance has told.
 type neighbor struct {
 	running map[string]int
-	at      time.Time
+	// until is when this is too old to count.
+	until time.Time
 }
 
 // usualKey names the targets that are likely to have a similar load.
@@ -89,7 +93,7 @@
 func (l *Loads) near(id string, now time.Time) float64 {
 	sum := 0
 	for _, n := range l.neighbors {
-		if now.Sub(n.at) < neighborLifetime {
+		if now.Before(n.until) {
 			sum += n.running[id]
 		}
 	}
@@ -105,12 +109,12 @@
 	l.news = append(l.news, n)
 }
 
-// Tell returns what a neighbor should know that has been told the news before the given number, and the number to go on
-// from.
-func (l *Loads) Tell(since uint64) (Told, uint64) {
+// Tell returns what a neighbor should know that has been told the news before the given number and is told
+// again after some time, and the number to go on from.
+func (l *Loads) Tell(since uint64, again time.Duration) (Told, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	told := Told{Running: map[string]int{}}
+	told := Told{Running: map[string]int{}, Next: again}
 	for id, t := range l.targets {
 		if t.mine > 0 {
 			told.Running[id] = t.mine
@@ -128,11 +132,11 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for id, n := range l.neighbors {
-		if now.Sub(n.at) >= neighborLifetime {
+		if !now.Before(n.until) {
 			delete(l.neighbors, id)
 		}
 	}
-	l.neighbors[from] = neighbor{running: told.Running, at: now}
+	l.neighbors[from] = neighbor{running: told.Running, until: now.Add(neighborRounds * told.Next)}
 	for _, n := range told.News {
 		if known, ok := l.targets[n.Target]; ok && n.Started < known.started {
 			continue
--- a/core/services/placement/neighbors_test.go
+++ b/core/services/placement/neighbors_test.go
@@ -12,7 +12,7 @@
 
 // pass hands all that one instance has to tell to another and returns the number to go on from.
 func pass(from, to *placement.Loads, name string) uint64 {
-	told, next := from.Tell(0)
+	told, next := from.Tell(0, 100*time.Millisecond)
 	to.Hear(name, told)
 	return next
 }
@@ -92,7 +92,7 @@
 	if next != 1 {
 		t.Fatalf("one attempt was told as %d", next)
 	}
-	told, again := ofB.Tell(next)
+	told, again := ofB.Tell(next, time.Second)
 	if len(told.News) != 0 || again != next {
 		t.Errorf("news was told twice: %+v", told.News)
 	}
@@ -124,13 +124,15 @@
 	w.put(roster.Target{ID: "t", Service: "orders", Place: east1, Slots: 3, Started: 2, Revision: 1})
 	p, l := w.placement("a", east1)
 	for range 3 {
-		if _, _, ok := p.Choose(query("x")); !ok {
+		c, _, ok := p.Choose(query("x"))
+		if !ok {
 			t.Fatal("no target")
 		}
+		l.End(placement.Attempt{Target: c.Target, Service: "orders", Goal: goal, Outcome: placement.OutcomeFailed})
 	}
-	l.Hear("b", placement.Told{News: []placement.News{{Target: "t", Started: 1, Outside: 100}}})
-	if c, _, ok := p.Choose(query("x")); !ok || c.Load != 3 {
-		t.Errorf("load is %v after news of an ended lifetime, want 3", c.Load)
+	l.Hear("b", placement.Told{News: []placement.News{{Target: "t", Started: 1, Answered: true}}})
+	if _, _, ok := p.Choose(query("x")); ok {
+		t.Error("a target that was left out is used again after news of an ended lifetime")
 	}
 }
 
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -87,8 +87,8 @@
 	// number and version are those of the view and of the intent.
 	number, version uint64
 	service         string
-	shares  shares
-	glide   glide
+	shares          shares
+	glide           glide
 	// byDomain holds the usable targets of each failure domain; evacuated ones while their ramp lasts.
 	byDomain map[roster.Place][]entry
 	places   []roster.Place
--- a/core/services/target/trust.go
+++ b/core/services/target/trust.go
@@ -42,7 +42,7 @@
 
 // failed takes the error of an exchange on a connection that was idle for some time before.
 func (t *trust) failed(err error, idle, took time.Duration) {
-	if idle == 0 || took > forgottenWithin || !(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+	if idle == 0 || took > forgottenWithin || (!errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE)) {
 		return
 	}
 	now := time.Now()
