Bound the followers of one leader

Change: the first of each nine instances in the order of a failure domain ask the store, and each of the others follows one of them. Failure domains of up to nine instances behave as before.

--- a/core/services/relay/relay.go
+++ b/core/services/relay/relay.go
@@ -1,12 +1,13 @@
 // Package relay lets the instances of a failure domain follow the store through one of them, so that calls to the store
 // grow with failure domains and not with instances.
 //
-// Every instance keeps the latest changes of each topic in a log. One instance, chosen by hash, asks the store; the others
-// ask it for its log, and ask the store themselves as soon as it falls silent or says that it has lost the store.
+// Every instance keeps the latest changes of each topic in a log. One instance of up to nine, chosen by hash, asks the store;
+// the others ask it for its log, and ask the store themselves as soon as it falls silent or says that it has lost the store.
 package relay
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 const (
 	// callTimeout bounds a question beyond the wait for changes; a large change takes that long on a slow link.
 	callTimeout = 400 * time.Millisecond
+	// maxFollowers bounds the instances that follow one leader: a change of the intent takes some hundred kilobytes, and links
+	// carry ten megabits a second.
+	maxFollowers = 8
 	// failurePause is how long an instance asks the store after its leader has failed.
 	failurePause = 3 * time.Second
 )
@@ -104,12 +108,17 @@
 }
 
 // Leader returns the instance through which this one should follow the store; false if it should ask the store.
-// An instance chooses among those that it knows, itself included, by the same hash: no circle of followers can arise.
+// The instances of a failure domain have one order by hash, and each chooses one that comes before it: no circle of
+// followers can arise, whatever they know of each other.
 func (r *Relay) Leader() (roster.Instance, bool) {
-	found, others := r.leader()
+	leaders, members := r.leaders()
+	if len(leaders) == 0 || slices.Contains(leaders, r.Self) {
+		return roster.Instance{}, false
+	}
+	found := members[rendezvous.Owners([]byte(r.Self), leaders, 1)[0]]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if found.ID == r.Self || others == 0 || (found.ID == r.failed && time.Now().Before(r.avoidUntil)) {
+	if found.ID == r.failed && time.Now().Before(r.avoidUntil) {
 		return roster.Instance{}, false
 	}
 	return found, true
@@ -117,28 +126,25 @@
 
 // Leads reports whether other instances follow the store through this one.
 func (r *Relay) Leads() bool {
-	found, others := r.leader()
-	return others > 0 && found.ID == r.Self
+	leaders, members := r.leaders()
+	return len(members) > 1 && slices.Contains(leaders, r.Self)
 }
 
-// leader returns the instance that asks the store for the failure domain, and the number of the other instances there;
-// that number is zero if this instance is not among those that are known.
-func (r *Relay) leader() (found roster.Instance, others int) {
+// leaders returns the IDs of the instances that ask the store for the failure domain, and its instances by ID. There are
+// no leaders if this instance is not among those that are known.
+func (r *Relay) leaders() ([]string, map[string]roster.Instance) {
 	var ids []string
-	known := false
 	members := map[string]roster.Instance{}
 	for _, i := range r.State.View().Instances {
-		if i.Place != r.Place || i.Peer == "" {
-			continue
+		if i.Place == r.Place && i.Peer != "" {
+			ids = append(ids, i.ID)
+			members[i.ID] = i
 		}
-		known = known || i.ID == r.Self
-		ids = append(ids, i.ID)
-		members[i.ID] = i
 	}
-	if !known {
-		return roster.Instance{}, 0
+	if _, known := members[r.Self]; !known {
+		return nil, members
 	}
-	return members[rendezvous.Owners([]byte(r.Place.FailureDomain), ids, 1)[0]], len(ids) - 1
+	return rendezvous.Owners([]byte(r.Place.FailureDomain), ids, (len(ids)+maxFollowers)/(maxFollowers+1)), members
 }
 
 // ask asks the leader, and notes when the way to the store changes.
--- a/core/services/relay/relay_test.go
+++ b/core/services/relay/relay_test.go
@@ -102,6 +102,38 @@
 	}
 }
 
+// TestLeadersOfALargeFailureDomain checks that no leader has too many followers.
+func TestLeadersOfALargeFailureDomain(t *testing.T) {
+	for _, n := range []int{2, 9, 10, 34, 65} {
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprint("i-", i))
+		}
+		d := newDomain(ids...)
+		followers := map[string]int{}
+		leaders := 0
+		for _, m := range d {
+			if chosen, ok := m.relay.Leader(); ok {
+				followers[chosen.ID]++
+				if !d[chosen.ID].relay.Leads() {
+					t.Errorf("of %d instances %s follows %s, which follows another", n, m.id, chosen.ID)
+				}
+				continue
+			}
+			leaders++
+		}
+		if want := (n + 8) / 9; leaders != want {
+			t.Errorf("of %d instances %d ask the store, want %d", n, leaders, want)
+		}
+		for id, count := range followers {
+			// Hashing spreads followers unevenly.
+			if count > 2*8 {
+				t.Errorf("of %d instances %d follow %s", n, count, id)
+			}
+		}
+	}
+}
+
 // TestNoLeaderForOutsiders checks the instances that have to ask the store.
 func TestNoLeaderForOutsiders(t *testing.T) {
 	other := roster.Place{Region: "east", FailureDomain: "east-2"}
@@ -127,7 +159,7 @@
 // TestFollowersNeverFormACircle lets instances that know different sets of others choose.
 func TestFollowersNeverFormACircle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ids := []string{"a", "b", "c", "d", "e"}
+		ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
 		d := newDomain(ids...)
 		for _, id := range ids {
 			var known []roster.Instance
