--- a/bench/main.go
+++ b/bench/main.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -13,16 +11,13 @@
 	"text/tabwriter"
 
 	flags "github.com/jessevdk/go-flags"
-)
 
-const (
-	// exitFailed and exitUsage are the exit codes for a failed run and for wrong arguments.
-	exitFailed = 1
-	exitUsage  = 2
-	// columnPadding is the space between the columns of a table.
-	columnPadding = 2
+	"medlarpond.dev/core/modules/exit"
 )
 
+// columnPadding is the space between the columns of a table.
+const columnPadding = 2
+
 // program is what every command works with.
 type program struct {
 	ctx context.Context //nolint:containedctx // the lifetime of one invocation
@@ -35,7 +30,7 @@
 	p := &program{ctx: ctx}
 	_, err := newParser(p).Parse()
 	stop()
-	os.Exit(report(err))
+	os.Exit(exit.Report(err, func(error) bool { return false }))
 }
 
 func newParser(p *program) *flags.Parser {
@@ -56,23 +51,6 @@
 	return parser
 }
 
-// report prints an error and returns the exit code that belongs to it.
-func report(err error) int {
-	if err == nil {
-		return 0
-	}
-	var usage *flags.Error
-	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
-		fmt.Println(usage.Message)
-		return 0
-	}
-	fmt.Fprintln(os.Stderr, "medlarpond-bench: "+err.Error())
-	if usage != nil {
-		return exitUsage
-	}
-	return exitFailed
-}
-
 // print writes a value as JSON or, through the function, as a table.
 func (p *program) print(value any, table func(io.Writer)) error {
 	if p.Output == "json" {
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -54,6 +54,17 @@
 	return request.Header.Get("Request-Id"), true
 }
 
+// serveEach passes the ID of each request of a connection and its number to serve, until serve returns false or the
+// connection ends.
+func serveEach(c net.Conn, serve func(id string, n int) bool) {
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		if id, ok := read(r); !ok || !serve(id, n) {
+			return
+		}
+	}
+}
+
 func exchange(address, id string) target.Exchange {
 	return target.Exchange{
 		Address: address, IDHeader: "Request-Id", ID: id, Deadline: time.Now().Add(2 * time.Second), MaxIdle: time.Second,
@@ -129,14 +140,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := rawServer(t, func(conn net.Conn, _ int) {
-				r := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					id, ok := read(r)
-					if !ok {
-						return
-					}
+				serveEach(conn, func(id string, n int) bool {
 					c.script(conn, id, n)
-				}
+					return true
+				})
 			})
 			p := target.NewPool()
 			if _, err := p.Do(t.Context(), exchange(address, "first")); err != nil {
@@ -197,17 +204,10 @@
 	var connections atomic.Int64
 	address := rawServer(t, func(c net.Conn, number int) {
 		connections.Add(1)
-		r := bufio.NewReader(c)
-		for {
-			id, ok := read(r)
-			if !ok {
-				return
-			}
+		serveEach(c, func(id string, _ int) bool {
 			_, _ = io.WriteString(c, answer(id, id))
-			if number > 0 {
-				return
-			}
-		}
+			return number == 0
+		})
 	})
 	p := target.NewPool()
 	for _, x := range []struct {
@@ -265,19 +265,15 @@
 	var connections atomic.Int64
 	address := rawServer(t, func(c net.Conn, number int) {
 		connections.Add(1)
-		r := bufio.NewReader(c)
-		for n := 0; ; n++ {
-			id, ok := read(r)
-			if !ok {
-				return
-			}
+		serveEach(c, func(id string, n int) bool {
 			if number == 0 && n == 1 {
 				time.Sleep(200 * time.Millisecond)
 				_ = c.(*net.TCPConn).SetLinger(0)
-				return
+				return false
 			}
 			_, _ = io.WriteString(c, answer(id, id))
-		}
+			return true
+		})
 	})
 	p := target.NewPool()
 	for n := range 6 {
@@ -343,14 +339,10 @@
 	var connections atomic.Int64
 	address := rawServer(t, func(c net.Conn, _ int) {
 		connections.Add(1)
-		r := bufio.NewReader(c)
-		for {
-			id, ok := read(r)
-			if !ok {
-				return
-			}
+		serveEach(c, func(id string, _ int) bool {
 			_, _ = io.WriteString(c, answer("stray", "wrong")+answer(id, id))
-		}
+			return true
+		})
 	})
 	p := target.NewPool()
 	for _, id := range []string{"a", "b", "c"} {
--- a/mpctl/main.go
+++ b/mpctl/main.go
@@ -13,13 +13,14 @@
 
 	flags "github.com/jessevdk/go-flags"
 
+	"medlarpond.dev/core/modules/exit"
 	"medlarpond.dev/mpctl/api"
 )
 
 // The exit codes.
 const (
-	exitFailed   = 1
-	exitUsage    = 2
+	exitFailed   = exit.Failed
+	exitUsage    = exit.Usage
 	exitNotFound = 3
 	exitConflict = 4
 	exitUnknown  = 5
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	flags "github.com/jessevdk/go-flags"
 	"golang.org/x/sync/errgroup"
 
+	"medlarpond.dev/core/modules/exit"
 	"medlarpond.dev/core/standin/platform"
 	"medlarpond.dev/core/standin/target"
 )
@@ -21,8 +22,6 @@
 const (
 	// headerTimeout bounds the time to read a request's headers.
 	headerTimeout = 5 * time.Second
-	// exitUsage is the exit code for wrong arguments.
-	exitUsage = 2
 )
 
 type platformCommand struct {
@@ -46,7 +45,7 @@
 		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
 			return
 		}
-		os.Exit(exitUsage)
+		os.Exit(exit.Usage)
 	}
 }
 
--- a/trial/main.go
+++ b/trial/main.go
@@ -11,13 +11,11 @@
 
 	flags "github.com/jessevdk/go-flags"
 
+	"medlarpond.dev/core/modules/exit"
 	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/standin/fleet"
 )
 
-// exitUsage is the exit code for wrong arguments.
-const exitUsage = 2
-
 type options struct {
 	File  string `short:"f" long:"file" default:"examples/trial.yaml" description:"trial file in YAML"`
 	Level string `long:"log-level" default:"warn" description:"debug, info, warn or error"`
@@ -30,11 +28,11 @@
 		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
 			return
 		}
-		os.Exit(exitUsage)
+		os.Exit(exit.Usage)
 	}
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exit.Failed)
 	}
 }
 
