placement: let requests without an object queue at every target

Cause: these requests carry no object. Placement treated each as a request for an object that is cold at every target but the first: at five of six candidates it could use a free slot only, and at the first it was rejected as late, since its expected time was that of cold objects (about 0.9 s plus the queue, with 1 s left; the targets answered such requests in 2 ms). With no request let through, the estimate was never corrected.

Ruled out as the main cause: that requests without a team are the least urgent.

Change: requests without an object may queue at each candidate and have a processing time of their own. Choose returns how many candidates were full, late or over the bound on shifts, and a log line shows these figures.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -41,9 +41,11 @@
 		if time.Until(c.deadline) < minAttemptTime {
 			break
 		}
-		choice, full, ok := f.Placement.Choose(f.newQuery(c))
+		query := f.newQuery(c)
+		choice, rejected, ok := f.Placement.Choose(query)
 		if !ok {
-			return f.refuseNoTarget(c, failedResponse, full)
+			f.logNoTarget(c, query, rejected)
+			return f.refuseNoTarget(c, failedResponse, rejected)
 		}
 		if sentCount > 0 && !f.RetryBudget.Withdraw(c.service) {
 			f.Loads.End(placement.Attempt{Target: choice.Target, Outcome: placement.OutcomeCancelled})
@@ -86,12 +88,12 @@
 }
 
 // refuseNoTarget returns the response to a request for which no target could be selected.
-func (f *Forwarder) refuseNoTarget(c *call, failedResponse *target.Response, full bool) (*target.Response, *refusal.Refusal) {
+func (f *Forwarder) refuseNoTarget(c *call, failedResponse *target.Response, rejected placement.Rejected) (*target.Response, *refusal.Refusal) {
 	if c.possibleRuns > 0 {
 		return f.giveUp(c, failedResponse)
 	}
 	reason, message := refusal.NoTarget, "no target may take the request now"
-	if full {
+	if rejected.Any() {
 		reason, message = refusal.Overloaded, "the targets have no room"
 	}
 	return nil, refusal.New(http.StatusServiceUnavailable, reason, message).WithRetryAfter(retryAfterOverload)
@@ -226,6 +228,13 @@
 	return placement.Report{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Known: true}
 }
 
+// logNoTarget writes the figures by which no target was selected for a request.
+func (f *Forwarder) logNoTarget(c *call, q placement.Query, rejected placement.Rejected) {
+	f.Logger.Info("no target can take the request", zap.String("request", c.ID), zap.String(logging.FieldService, c.service),
+		zap.Int("full", rejected.Full), zap.Int("late", rejected.Late), zap.Int("spill", rejected.Spill),
+		zap.Float64("queue-per-slot", q.MaxQueuePerSlot), zap.Duration("time-left", q.TimeLeft))
+}
+
 // logAttempt writes the log line from which the path of a request can be reconstructed.
 func (f *Forwarder) logAttempt(
 	c *call, choice placement.Choice, response *target.Response, err error, outcome requestOutcome, took time.Duration,
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -32,10 +32,11 @@
 	maxEjectionTime  = 8 * time.Second
 	// failureCost is the expected delay of a request to a target that always fails, in multiples of the latency goal.
 	failureCost = 2.0
-	// initialWarmTime and initialColdTime are the processing times assumed before the first measurement, in multiples
-	// of the latency goal.
-	initialWarmTime = 0.5
-	initialColdTime = 1.6
+	// initialWarmTime, initialColdTime and initialObjectlessTime are the processing times assumed before the first
+	// measurement, in multiples of the latency goal.
+	initialWarmTime       = 0.5
+	initialColdTime       = 1.6
+	initialObjectlessTime = 1.0
 	// processingTimeGain is the weight of a new sample in the moving average of processing times.
 	processingTimeGain = 0.1
 	// slownessHalfLife is the half-life of the excess of a target's slowness over 1.
@@ -124,8 +125,24 @@
 	goal    time.Duration
 }
 
-// processingTime holds the average processing times for warm and cold objects, in seconds.
-type processingTime struct{ warm, cold float64 }
+// processingTime holds the average processing times, in seconds.
+type processingTime struct {
+	// warm and cold are those of requests for objects that the target has and has not served recently, objectless those
+	// of requests without an object.
+	warm, cold, objectless float64
+}
+
+// average returns the average processing time of the requests for an object.
+func (t *processingTime) average(object string, warm bool) *float64 {
+	switch {
+	case object == "":
+		return &t.objectless
+	case warm:
+		return &t.warm
+	default:
+		return &t.cold
+	}
+}
 
 // NewLoadTracker returns an empty LoadTracker.
 func NewLoadTracker() *LoadTracker {
@@ -174,7 +191,9 @@
 	key := processingTimeKey{service: service, goal: goal}
 	times, ok := l.processingTimes[key]
 	if !ok {
-		times = &processingTime{warm: initialWarmTime * goal.Seconds(), cold: initialColdTime * goal.Seconds()}
+		times = &processingTime{
+			warm: initialWarmTime * goal.Seconds(), cold: initialColdTime * goal.Seconds(), objectless: initialObjectlessTime * goal.Seconds(),
+		}
 		l.processingTimes[key] = times
 	}
 	return times
@@ -193,11 +212,7 @@
 	if _, e.warm = state.warmObjects[object]; firstChoice && object != "" {
 		e.warm = true
 	}
-	seconds := times.cold
-	if e.warm {
-		seconds = times.warm
-	}
-	seconds *= state.decayedSlowness(now)
+	seconds := *times.average(object, e.warm) * state.decayedSlowness(now)
 	if excess := e.load + 1 - float64(t.Slots); excess > 0 {
 		wait := excess / float64(t.Slots) * times.warm * state.decayedSlowness(now)
 		e.wait = time.Duration(wait * float64(time.Second))
@@ -303,10 +318,7 @@
 // for a slot.
 func (l *LoadTracker) recordResponse(state *targetState, a Attempt, now time.Time) {
 	times := l.processingTimeOf(a.Service, a.LatencyGoal)
-	average := &times.cold
-	if a.Warm {
-		average = &times.warm
-	}
+	average := times.average(a.Object, a.Warm)
 	expected := *average
 	if excess := a.Load + 1 - float64(a.Target.Slots); excess > 0 {
 		expected += excess / float64(a.Target.Slots) * times.warm
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -69,6 +69,16 @@
 	ExpectedTime time.Duration
 }
 
+// Rejected counts the candidates that could not take a request, by reason.
+type Rejected struct {
+	// Full is the number of candidates without a free slot or room in the queue, Late the number whose queue is too long
+	// for the deadline of the request, and Spill the number in another region, which may not take more requests now.
+	Full, Late, Spill int
+}
+
+// Any reports whether a candidate was rejected for lack of capacity.
+func (r Rejected) Any() bool { return r.Full+r.Late+r.Spill > 0 }
+
 // Placement selects targets for the requests of one instance. It is safe for concurrent use.
 type Placement struct {
 	state   *belief.State
@@ -115,9 +125,8 @@
 }
 
 // Choose returns the target with the lowest cost and counts the attempt as started; the caller must end it with
-// LoadTracker.End. If no target can take the request, ok is false and full tells whether a target was rejected for lack
-// of capacity.
-func (p *Placement) Choose(q Query) (c Choice, full, ok bool) {
+// LoadTracker.End. If no target can take the request, ok is false and rejected tells why.
+func (p *Placement) Choose(q Query) (c Choice, rejected Rejected, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -127,17 +136,21 @@
 	for _, candidate := range candidates {
 		t, e := candidate.target, candidate.estimate
 		if t.Place.Region != candidates[0].target.Place.Region && !p.spillLimiter.allows(now, p.policy.RegionSpill) {
-			full = true
+			rejected.Spill++
 			continue
 		}
 		maxQueuePerSlot := q.MaxQueuePerSlot
-		if candidate.rank > 0 && !e.warm {
+		if candidate.rank > 0 && !e.warm && q.Object != "" {
 			// A request for an object that is cold on this target takes several times as long, so only a free slot is
 			// worth using.
 			maxQueuePerSlot = 0
 		}
-		if e.load+1 > float64(t.Slots)*(1+maxQueuePerSlot) || (e.wait > 0 && e.expected > q.TimeLeft) {
-			full = true
+		if e.load+1 > float64(t.Slots)*(1+maxQueuePerSlot) {
+			rejected.Full++
+			continue
+		}
+		if e.wait > 0 && e.expected > q.TimeLeft {
+			rejected.Late++
 			continue
 		}
 		if cost := p.cost(candidate, q.LatencyGoal); cost < best {
@@ -150,7 +163,7 @@
 		p.coldLimiter.consume(c.Target)
 		p.loads.Begin(c.Target)
 	}
-	return c, full, ok
+	return c, rejected, ok
 }
 
 // cost returns the cost of sending a request to a candidate, in multiples of the latency goal: the estimated response
