target: bound responses without end

Cause: readResponse gave http.ReadResponse a reader without a limit, and net/textproto sets none either, so one header line without end filled the heap until the deadline of the exchange. The body of a mismatched response was discarded without a limit. A body of up to 1 MiB was held for each request, 200 MB for 200 requests.

Change: heads and discarded bodies are bounded by 64 KiB each, bodies are buffered up to 128 KiB and streamed beyond. A response over a bound closes the connection; the outcome is unknown. A counter tells the part.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -141,6 +141,10 @@
 		Load: choice.Load, Warm: choice.Warm, Outcome: targetOutcome, Report: report,
 	})
 	f.Meter.Count("medlarpond_attempts_total", "outcome", outcome.String())
+	var oversized *target.ErrOversizedResponse
+	if errors.As(err, &oversized) {
+		f.Meter.Count("medlarpond_oversized_responses_total", "part", oversized.Part)
+	}
 	f.logAttempt(c, choice, response, err, outcome, took)
 	if ejected {
 		f.Meter.Count("medlarpond_ejections_total", "service", c.service)
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -14,8 +14,13 @@
 
 const (
 	// maxBufferedResponse is the largest response body that is read whole before it is passed on. If a response
-	// breaks off before that, another target can still be tried.
-	maxBufferedResponse = 1 << 20
+	// breaks off before that, another target can still be tried. Two hundred such bodies at once fit into the memory of
+	// an instance.
+	maxBufferedResponse = 128 << 10
+	// maxResponseHead is the maximum size of the head of a response, and of each interim response.
+	maxResponseHead = 64 << 10
+	// maxDiscardedBody is the maximum size of the body of a mismatched response that is skipped to find the right one.
+	maxDiscardedBody = 64 << 10
 	// maxInlineRequest is the largest request body that is written before the response is read. It fits into the TCP
 	// windows of a connection, so that writing it does not block. It is also the buffer size for chunked bodies.
 	maxInlineRequest = 16 << 10
@@ -74,6 +79,47 @@
 	return fmt.Sprintf("response belongs to request %q", e.GotID)
 }
 
+// ErrOversizedResponse is returned when a target sends more bytes than a part of a response may have. The connection is
+// closed, as such a target may send without end.
+type ErrOversizedResponse struct {
+	// Part is the part of the response that is too large, Limit its maximum size in bytes.
+	Part  string
+	Limit int
+}
+
+// Error implements error.
+func (e *ErrOversizedResponse) Error() string {
+	return fmt.Sprintf("%s is over the limit of %d bytes", e.Part, e.Limit)
+}
+
+// boundedReader reads from a connection and fails after limit bytes, unless limit is zero.
+type boundedReader struct {
+	source io.Reader
+	// limit is the maximum number of bytes, read the number that has been read since limit was set.
+	limit, read int
+	// part names what is read, for the error.
+	part string
+	// exceeded is the error after the limit has been exceeded; parsers may report another one instead.
+	exceeded error
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.limit > 0 {
+		if r.read >= r.limit {
+			r.exceeded = &ErrOversizedResponse{Part: r.part, Limit: r.limit}
+			return 0, r.exceeded
+		}
+		b = b[:min(len(b), r.limit-r.read)]
+	}
+	n, err := r.source.Read(b)
+	r.read += n
+	return n, err
+}
+
+// setLimit bounds the bytes that are read from now on; a limit of zero lifts the bound.
+func (r *boundedReader) setLimit(part string, limit int) { r.part, r.limit, r.read = part, limit, 0 }
+
 // Do makes the attempt. It returns *ErrNotSent if no byte of the request can have reached the target, and
 // *ErrInterrupted if the request may have run and no complete response arrived. It never retries.
 func (p *Pool) Do(ctx context.Context, x Exchange) (*Response, error) {
@@ -98,6 +144,9 @@
 	}
 	response, reusable, err := c.readResponse(x)
 	if err != nil {
+		if c.bound.exceeded != nil {
+			err = c.bound.exceeded
+		}
 		stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
@@ -200,10 +249,12 @@
 func (c *conn) readResponse(x Exchange) (r *Response, reusable bool, err error) {
 	skipped := false
 	for range maxResponsesRead {
+		c.bound.setLimit("response head", maxResponseHead)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: x.Request.Method}) //nolint:bodyclose // the connection is closed instead
 		if err != nil {
 			return nil, false, err
 		}
+		c.bound.setLimit("", 0)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -215,6 +266,7 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, false, &ErrMismatchedResponse{GotID: gotID}
 		}
+		c.bound.setLimit("body of a mismatched response", maxDiscardedBody)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, false, err
 		}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -42,7 +42,9 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
+	// reader buffers what bound lets through.
 	reader *bufio.Reader
+	bound  *boundedReader
 	// idleSince is when the connection was last used; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is how long the connection may stay idle.
@@ -85,7 +87,8 @@
 	if err != nil {
 		return nil, &ErrNotSent{Cause: err}
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReader(netConn), idleLimit: defaultIdleLimit}, nil
+	bound := &boundedReader{source: netConn}
+	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}, nil
 }
 
 // pop returns the most recently used idle connection of an address, or nil. A connection that was idle for longer
