belief, placement: count an evacuation from when it can have started

Cause: belief counted an evacuation from when the instance learned of it, and placement used the domain for another 0.6 of the bound.

Change: an evacuation has two times, when the instance learned of it and when the last request was sent whose response did not contain it. The ramp still takes 0.6 of the bound, but ends at 0.75 of it after the second time; the rest covers a second in which a store reports nothing and requests on their way. Both are boot times, so a suspended machine does not stretch them; belief gets the clock as a function.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/modules/boottime"
 	"medlarpond.dev/core/modules/duty"
 	"medlarpond.dev/core/modules/logging"
 	"medlarpond.dev/core/modules/meter"
@@ -39,6 +40,9 @@
 	relayWaitFraction = 0.05
 	// evacuationRampFraction is the fraction of EvacuateWithin over which requests are moved out of a failure domain.
 	evacuationRampFraction = 0.6
+	// evacuationLimitFraction is the fraction of EvacuateWithin after which an evacuated failure domain receives no more
+	// requests. The rest is for requests on their way and for a second in which a store may not report changes.
+	evacuationLimitFraction = 0.75
 	// shiftRateFactor converts RegionShift, the bound on shifts within 2 s, to a rate per second that uses 2/5 of it.
 	// spillRateFactor is the fraction of RegionShift for requests that find no free capacity in their region. The rest is
 	// a margin for random variation.
@@ -103,7 +107,7 @@
 	retryBudget := allowance.NewRetryBudget(allowance.RetryPolicy{
 		Ratio: s.Bounds.RetryRatio * retryRatioFraction, Reserve: s.Bounds.RetryReserve * retryReserveFraction,
 	})
-	state := belief.New(logger, func(n int) {
+	state := belief.New(logger, boottime.Now, func(n int) {
 		rateLimiter.SetInstances(n)
 		retryBudget.SetInstances(n)
 	})
@@ -114,10 +118,11 @@
 	}
 	loads := placement.NewLoadTracker()
 	chooser := placement.New(state, s.Instance.ID, localPlace, origins, placement.Policy{
-		RegionShift:    s.Bounds.RegionShift * shiftRateFactor,
-		RegionSpill:    s.Bounds.RegionShift * spillRateFactor,
-		EvacuationRamp: time.Duration(evacuationRampFraction * float64(s.Bounds.EvacuateWithin)),
-		Objects:        s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
+		RegionShift:     s.Bounds.RegionShift * shiftRateFactor,
+		RegionSpill:     s.Bounds.RegionShift * spillRateFactor,
+		EvacuationRamp:  time.Duration(evacuationRampFraction * float64(s.Bounds.EvacuateWithin)),
+		EvacuationLimit: time.Duration(evacuationLimitFraction * float64(s.Bounds.EvacuateWithin)),
+		Objects:         s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -56,7 +56,7 @@
 // 1, that any target receives.
 func newInstance(t *testing.T, targets int, respond func(w http.ResponseWriter, r *http.Request, n int)) *testInstance {
 	t.Helper()
-	s := &testInstance{state: belief.New(zap.NewNop(), func(int) {})}
+	s := &testInstance{state: belief.New(zap.NewNop(), boottime.Now, func(int) {})}
 	loads := placement.NewLoadTracker()
 	policy := placement.Policy{RegionShift: 0.04, RegionSpill: 0.06, EvacuationRamp: time.Second, Objects: 40, Candidates: 6, RankCost: 0.05}
 	rateLimiter := allowance.New(allowance.Policy{Window: 5 * time.Second, GrowAfter: 10 * time.Second, Slack: 5})
--- a/core/services/belief/belief.go
+++ b/core/services/belief/belief.go
@@ -14,17 +14,16 @@
 
 	"medlarpond.dev/core/models/intent"
 	"medlarpond.dev/core/models/roster"
-	"medlarpond.dev/core/modules/boottime"
 )
 
 // View is an immutable snapshot of what the instance knows.
 type View struct {
 	// Intent is nil until the first one is received.
 	Intent *intent.Intent
-	// Evacuated maps each evacuated failure domain to the time when this instance learned of the evacuation.
-	Evacuated map[string]time.Time
-	// Restored maps each failure domain whose evacuation has ended to the time when this instance learned of that.
-	Restored map[string]time.Time
+	// Evacuated holds the evacuated failure domains.
+	Evacuated map[string]Evacuation
+	// Restored maps each failure domain whose evacuation has ended to the boot time at which this instance learned of that.
+	Restored map[string]time.Duration
 	// Targets maps each service to all its targets, including leaving ones, sorted by ID.
 	Targets map[string][]roster.Target
 	// Instances is sorted by ID and includes this instance once it is registered.
@@ -33,9 +32,20 @@
 	Generation uint64
 }
 
+// Evacuation is the evacuation of a failure domain. Its times are boot times.
+type Evacuation struct {
+	// LearnedAt is when this instance learned of the evacuation.
+	LearnedAt time.Duration
+	// StartedAfter is when the last request to the store was sent whose response did not contain the evacuation. The
+	// operators may have started it at any time since.
+	StartedAfter time.Duration
+}
+
 // State holds the current view. It is safe for concurrent use.
 type State struct {
 	logger *zap.Logger
+	// now returns the boot time.
+	now func() time.Duration
 	// onInstanceCount is called with the number of known instances whenever their list changes.
 	onInstanceCount func(n int)
 	view            atomic.Pointer[View]
@@ -49,9 +59,10 @@
 	intentRevision uint64
 }
 
-// New returns an empty State. onInstanceCount is called with the number of instances whenever their list changes.
-func New(logger *zap.Logger, onInstanceCount func(n int)) *State {
-	s := &State{logger: logger, onInstanceCount: onInstanceCount, targets: map[string]roster.Target{}}
+// New returns an empty State. now returns the boot time; a clock that stops while the machine is suspended would make
+// outdated knowledge look recent. onInstanceCount is called with the number of instances whenever their list changes.
+func New(logger *zap.Logger, now func() time.Duration, onInstanceCount func(n int)) *State {
+	s := &State{logger: logger, now: now, onInstanceCount: onInstanceCount, targets: map[string]roster.Target{}}
 	s.confirmedAt.Store(int64(neverConfirmed))
 	s.view.Store(&View{})
 	return s
@@ -60,6 +71,9 @@
 // neverConfirmed is a boot time older than any confirmation timeout.
 const neverConfirmed = -time.Hour * 24 * 365
 
+// Now returns the boot time.
+func (s *State) Now() time.Duration { return s.now() }
+
 // View returns the current view.
 func (s *State) View() *View { return s.view.Load() }
 
@@ -73,7 +87,7 @@
 
 // SinceConfirmed returns the time since the latest confirmed request to the store was sent.
 func (s *State) SinceConfirmed() time.Duration {
-	return boottime.Now() - time.Duration(s.confirmedAt.Load())
+	return s.now() - time.Duration(s.confirmedAt.Load())
 }
 
 // SetIntent activates an intent unless a newer one is active. It reports whether it did.
@@ -96,7 +110,8 @@
 	return true
 }
 
-// SetEvacuated replaces the set of evacuated failure domains.
+// SetEvacuated replaces the set of evacuated failure domains. It must be called before the response that contained the
+// set is confirmed.
 func (s *State) SetEvacuated(domains []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,18 +123,19 @@
 		return
 	}
 	next := *current
-	next.Evacuated, next.Restored = map[string]time.Time{}, maps.Clone(current.Restored)
+	next.Evacuated, next.Restored = map[string]Evacuation{}, maps.Clone(current.Restored)
 	if next.Restored == nil {
-		next.Restored = map[string]time.Time{}
+		next.Restored = map[string]time.Duration{}
 	}
-	now := time.Now()
+	now := s.now()
 	for _, d := range domains {
-		since, known := current.Evacuated[d]
+		evacuation, known := current.Evacuated[d]
 		if !known {
-			since = now
-			s.logger.Info("evacuation of a failure domain has started", zap.String("failure-domain", d))
+			evacuation = Evacuation{LearnedAt: now, StartedAfter: time.Duration(s.confirmedAt.Load())}
+			s.logger.Info("evacuation of a failure domain has started", zap.String("failure-domain", d),
+				zap.Duration("started-at-most-ago", now-evacuation.StartedAfter))
 		}
-		next.Evacuated[d] = since
+		next.Evacuated[d] = evacuation
 	}
 	for d := range current.Evacuated {
 		if _, evacuated := next.Evacuated[d]; !evacuated {
--- a/core/services/belief/belief_test.go
+++ b/core/services/belief/belief_test.go
@@ -1,6 +1,7 @@
 package belief_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 	"medlarpond.dev/core/services/belief"
 )
 
-func newState() *belief.State { return belief.New(zap.NewNop(), func(int) {}) }
+func newState() *belief.State { return belief.New(zap.NewNop(), boottime.Now, func(int) {}) }
 
 func intentVersion(t *testing.T, v uint64) *intent.Intent {
 	t.Helper()
@@ -82,18 +83,24 @@
 	}
 }
 
-func TestEvacuationKeepsItsStartTime(t *testing.T) {
-	s := newState()
+func TestEvacuationKeepsItsTimes(t *testing.T) {
+	now := 10 * time.Second
+	s := belief.New(zap.NewNop(), func() time.Duration { return now }, func(int) {})
+	s.Confirm(8 * time.Second)
 	s.SetEvacuated([]string{"zone-1"})
-	since := s.View().Evacuated["zone-1"]
-	time.Sleep(2 * time.Millisecond)
+	s.Confirm(9 * time.Second)
+	now = 12 * time.Second
 	s.SetEvacuated([]string{"zone-1", "zone-2"})
-	if got := s.View().Evacuated["zone-1"]; !got.Equal(since) {
-		t.Errorf("start of the evacuation changed from %v to %v", since, got)
+	want := map[string]belief.Evacuation{
+		"zone-1": {LearnedAt: 10 * time.Second, StartedAfter: 8 * time.Second},
+		"zone-2": {LearnedAt: 12 * time.Second, StartedAfter: 9 * time.Second},
+	}
+	if got := s.View().Evacuated; !maps.Equal(got, want) {
+		t.Errorf("got evacuations %+v, want %+v", got, want)
 	}
 	s.SetEvacuated([]string{"zone-2"})
-	if _, ok := s.View().Restored["zone-1"]; !ok {
-		t.Error("the restored failure domain is missing in Restored")
+	if got := s.View().Restored["zone-1"]; got != now {
+		t.Errorf("zone-1 was restored at %v, want %v", got, now)
 	}
 }
 
@@ -112,7 +119,7 @@
 
 func TestInstanceCountCallback(t *testing.T) {
 	var counts []int
-	s := belief.New(zap.NewNop(), func(n int) { counts = append(counts, n) })
+	s := belief.New(zap.NewNop(), boottime.Now, func(n int) { counts = append(counts, n) })
 	list := []roster.Instance{{ID: "b"}, {ID: "a"}}
 	s.SetInstances(list)
 	s.SetInstances([]roster.Instance{{ID: "a"}, {ID: "b"}})
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -21,9 +21,12 @@
 	// RegionSpill is the maximum fraction of requests that may be served outside the region of their object because
 	// that region has no free capacity.
 	RegionSpill float64
-	// EvacuationRamp is the time after which an evacuated failure domain receives no more requests, and over which a
-	// restored one gets its objects back.
+	// EvacuationRamp is the time over which the objects of an evacuated failure domain are moved out of it, and over which
+	// a restored one gets its objects back.
 	EvacuationRamp time.Duration
+	// EvacuationLimit is the time since an evacuation may have started after which the failure domain receives no more
+	// requests, also if this instance learned of the evacuation late.
+	EvacuationLimit time.Duration
 	// Objects is the number of distinct objects of a service that the callers of one region use concurrently.
 	Objects int
 	// Candidates is the maximum number of targets compared for one request.
@@ -197,7 +200,7 @@
 	ranked := make([]rankedTarget, 0, p.policy.Candidates)
 	inRegion, region := 0, ""
 	for _, place := range pl.domainOrder(object, regions, p.own) {
-		if p.isEvacuatedFor(view, place, object, now) {
+		if p.isEvacuatedFor(view, place, object, p.state.Now()) {
 			continue
 		}
 		if place.Region != region {
@@ -226,16 +229,18 @@
 	return ranked
 }
 
-// isEvacuatedFor reports whether an object must not use a failure domain because the domain is being evacuated or is
-// being restored and the object has not moved back yet. Each object moves at its own time within EvacuationRamp, so
-// that the possibly cold targets of a restored domain do not receive all objects at once.
-func (p *Placement) isEvacuatedFor(view *belief.View, place roster.Place, object uint64, now time.Time) bool {
+// isEvacuatedFor reports whether an object must not use a failure domain at the boot time now because the domain is being
+// evacuated or is being restored and the object has not moved back yet. Each object moves at its own time within
+// EvacuationRamp, so that other targets, and the possibly cold targets of a restored domain, do not receive all objects
+// at once.
+func (p *Placement) isEvacuatedFor(view *belief.View, place roster.Place, object uint64, now time.Duration) bool {
 	fraction := uniform(mix(object ^ hashString(place.FailureDomain)))
-	if since, ok := view.Evacuated[place.FailureDomain]; ok {
-		return now.Sub(since).Seconds() >= fraction*p.policy.EvacuationRamp.Seconds()
+	if e, ok := view.Evacuated[place.FailureDomain]; ok {
+		ramp := min(p.policy.EvacuationRamp, e.StartedAfter+p.policy.EvacuationLimit-e.LearnedAt)
+		return (now - e.LearnedAt).Seconds() >= fraction*ramp.Seconds()
 	}
-	if since, ok := view.Restored[place.FailureDomain]; ok {
-		return now.Sub(since).Seconds() < fraction*p.policy.EvacuationRamp.Seconds()
+	if restoredAt, ok := view.Restored[place.FailureDomain]; ok {
+		return (now - restoredAt).Seconds() < fraction*p.policy.EvacuationRamp.Seconds()
 	}
 	return false
 }
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -27,7 +27,7 @@
 )
 
 var policy = placement.Policy{
-	RegionShift: 0.03, RegionSpill: 0.06, EvacuationRamp: 3 * time.Second, Objects: 40, Candidates: 6,
+	RegionShift: 0.03, RegionSpill: 0.06, EvacuationRamp: 3 * time.Second, EvacuationLimit: 4 * time.Second, Objects: 40, Candidates: 6,
 	RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2,
 }
 
@@ -38,8 +38,12 @@
 	targets  map[string]roster.Target
 }
 
+// newFixture returns a state that the store has just confirmed. Its boot clock follows the clock of the test.
 func newFixture() *fixture {
-	return &fixture{state: belief.New(zap.NewNop(), func(int) {}), targets: map[string]roster.Target{}}
+	started := time.Now()
+	state := belief.New(zap.NewNop(), func() time.Duration { return time.Since(started) }, func(int) {})
+	state.Confirm(0)
+	return &fixture{state: state, targets: map[string]roster.Target{}}
 }
 
 func (f *fixture) updateTargets(targets ...roster.Target) {
@@ -443,3 +447,24 @@
 		}
 	})
 }
+
+// TestLateKnowledgeOfEvacuation checks that an instance which learns late of an evacuation does not use the failure domain
+// longer than one that learns of it at once: the operators' bound counts from the start of the evacuation.
+func TestLateKnowledgeOfEvacuation(t *testing.T) {
+	for _, lag := range []time.Duration{0, 2 * time.Second, 3500 * time.Millisecond, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			f.addTargets(4, east1, east2)
+			p, l := f.newPlacement("a", east1)
+			time.Sleep(lag)
+			f.state.SetEvacuated([]string{east1.FailureDomain})
+			time.Sleep(max(0, policy.EvacuationLimit-lag))
+			for n := range 1000 {
+				if got := choose(t, p, l, query(fmt.Sprint(n))); got.Place == east1 {
+					t.Fatalf("learned %v after the last confirmation: object %d is sent to the evacuated failure domain %v after it",
+						lag, n, max(lag, policy.EvacuationLimit))
+				}
+			}
+		})
+	}
+}
