platform: tell an outage of the store from one of this instance

Cause: an entry that is missing after an outage is kept for a settle time, since programs write expired entries again when the store is back. It was kept as well when only this instance had been cut off, though the store had removed the entry for good. Nothing added up the time to notice the end of an outage, to settle and to apply; the sum was 3.3 s, with 3 s allowed. The virtual-time test found two more parts: a watch that hung on a dead connection timed out after the store was back, made it count as unreachable again and began the settle time anew; and until its time-out (11 s for targets) it received nothing.

Change: - each instance records its contact with the store (services/witness); after an outage, up to three others are asked, and one that had contact all the time shows that entries are gone.

Ruled out: telling the two apart by revisions. They do not advance while nobody writes, so a quiet store looks like one that is away.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -29,6 +29,7 @@
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/relay"
 	"medlarpond.dev/core/services/target"
+	"medlarpond.dev/core/services/witness"
 	"medlarpond.dev/core/settings"
 )
 
@@ -88,9 +89,10 @@
 	// forwarder admits requests and sends them to targets; router handles the HTTP exchange with callers.
 	forwarder *forward.Forwarder
 	router    *front.Router
-	// broadcaster and relay call other instances over the connections in peerPool; peerServer serves their calls.
+	// broadcaster, relay and witness call other instances over the connections in peerPool; peerServer serves their calls.
 	broadcaster *neighbor.Broadcaster
 	relay       *relay.Relay
+	witness     *witness.Witness
 	peerServer  *peer.Server
 	peerPool    *peer.Pool
 	meter       *meter.Meter
@@ -135,8 +137,12 @@
 		Self: s.Instance.ID, Place: localPlace, State: state, Poll: peerrouter.PollChanges(e.peerPool), Logger: logger,
 		Wait: time.Duration(relayWaitFraction * float64(s.Bounds.RevokeWithin)),
 	})
+	e.witness = witness.New(witness.Config{
+		Self: s.Instance.ID, State: state, Contact: witness.NewContact(boottime.Now), Ask: peerrouter.GetContact(e.peerPool), Logger: logger,
+	})
 	if err := errors.Join(
 		peerrouter.RegisterLoads(e.peerServer, loads.Merge), peerrouter.RegisterChanges(e.peerServer, e.relay.HandlePoll),
+		peerrouter.RegisterContact(e.peerServer, e.witness.Contact.Unbroken),
 	); err != nil {
 		logger.Error("failed to register the peer RPC methods", zap.Error(err))
 	}
@@ -160,6 +166,9 @@
 // Relay returns the relay through which this instance follows the store by polling other instances.
 func (e *Edge) Relay() *relay.Relay { return e.relay }
 
+// Witness returns the witness, whose Contact must record the responses of the store.
+func (e *Edge) Witness() *witness.Witness { return e.witness }
+
 // Meter returns the metrics of the instance.
 func (e *Edge) Meter() *meter.Meter { return e.meter }
 
--- a/core/services/relay/relay.go
+++ b/core/services/relay/relay.go
@@ -55,6 +55,8 @@
 	// Age is the time between sending the request to the store that confirmed this response and receiving this poll;
 	// negative if the poll was received first.
 	Age time.Duration
+	// Unbroken is how long the instance has had contact with the store without a break.
+	Unbroken time.Duration
 }
 
 // Config holds the dependencies and settings of a Relay.
@@ -88,9 +90,10 @@
 // New returns a Relay without topics.
 func New(config Config) *Relay { return &Relay{Config: config, topics: map[string]*Topic{}} }
 
-// AddTopic adds and returns a topic. reachable reports whether this instance can reach the store.
-func (r *Relay) AddTopic(name string, reachable func() bool) *Topic {
-	t := &Topic{name: name, relay: r, reachable: reachable, log: newLog()}
+// AddTopic adds and returns a topic. reachable reports whether this instance can reach the store, unbroken for how long it
+// has had contact without a break.
+func (r *Relay) AddTopic(name string, reachable func() bool, unbroken func() time.Duration) *Topic {
+	t := &Topic{name: name, relay: r, reachable: reachable, unbroken: unbroken, log: newLog()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.topics[name] = t
--- a/core/services/relay/relay_test.go
+++ b/core/services/relay/relay_test.go
@@ -50,7 +50,7 @@
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			return !m.storeUnreachable
-		})
+		}, func() time.Duration { return 0 })
 		m.state.SetInstances(append([]roster.Instance(nil), instances...))
 		d[id] = m
 	}
--- a/core/services/relay/topic.go
+++ b/core/services/relay/topic.go
@@ -12,6 +12,7 @@
 	name      string
 	relay     *Relay
 	reachable func() bool
+	unbroken  func() time.Duration
 	log       *log
 	// position is this instance's position in the log of its leader. Only Poll uses it, which must not be called
 	// concurrently.
@@ -56,6 +57,7 @@
 			return PollResponse{Lost: true}
 		}
 		response, changed := t.log.since(request, receivedAt)
+		response.Unbroken = t.unbroken()
 		if response.Lost || response.Whole || len(response.Changes) > 0 || ctx.Err() != nil {
 			return response
 		}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -78,6 +78,9 @@
 type EdgeBounds struct {
 	// RevokeWithin is the time within which a revoked key must stop working.
 	RevokeWithin time.Duration `yaml:"revoke-within"`
+	// ContactWithin is the time after the end of an outage or a partition within which an instance must know what has
+	// changed in the meantime.
+	ContactWithin time.Duration `yaml:"contact-within"`
 	// RetryRatio and RetryReserve bound the retries to a service by all instances together: a fraction of its requests plus
 	// a fixed number.
 	RetryRatio   float64 `yaml:"retry-ratio"`
@@ -149,14 +152,14 @@
 	return Edge{
 		Store: EdgeStore{
 			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second, InstanceBatchDelay: 2 * time.Second,
-			SettleTime: 2200 * time.Millisecond,
+			SettleTime: 2100 * time.Millisecond,
 		},
 		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
 		Stop: EdgeStop{
 			Grace: 6 * time.Second, Margin: 150 * time.Millisecond, LookupTTL: 1500 * time.Millisecond, CacheFactor: 3,
 		},
 		Bounds: EdgeBounds{
-			RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateWindow: 5 * time.Second, RateOverrun: 0.1, RateSlack: 20,
+			RevokeWithin: 5 * time.Second, ContactWithin: 3 * time.Second, RetryRatio: 0.2, RetryReserve: 50, RateWindow: 5 * time.Second, RateOverrun: 0.1, RateSlack: 20,
 			DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
@@ -200,6 +203,7 @@
 		{"stop.grace", e.Stop.Grace},
 		{"stop.lookup-ttl", e.Stop.LookupTTL},
 		{"bounds.revoke-within", e.Bounds.RevokeWithin},
+		{"bounds.contact-within", e.Bounds.ContactWithin},
 		{"bounds.rate-window", e.Bounds.RateWindow},
 		{"bounds.drain-within", e.Bounds.DrainWithin},
 		{"bounds.evacuate-within", e.Bounds.EvacuateWithin},
