front: handle the pipelined requests of a connection together

Cause: net/http handles the requests of a connection one after the other, so a request that a caller sent before the response to an earlier one was not even read until that was answered.

Ruled out: an HTTP server of our own. net/http stays the only one that reads requests, checks limits, orders responses and closes connections.

Change: the connections of callers look for further requests in what the server reads, and start those that are idempotent and have no body, at most 8 at a time. While a handler runs, the server reads from the connection to notice that the caller is gone; this read finds the next requests. When the server reads such a request, its handler takes the result. A stop asks to close the connection only after the requests that were started, as a caller would otherwise lose them; a caller that disconnects ends all of them; a panic in one of them ends that request alone.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -228,13 +228,14 @@
 	supervisor := duty.New(e.logger)
 	defer supervisor.Stop()
 	caller := e.server(e.router)
+	caller.ConnContext = e.router.ConnContext
 	auxiliary := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
 	defer closeAll(auxiliary)
 	for _, s := range []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"caller-server", e.settings.Listen.Caller, caller.Serve},
+		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error { return caller.Serve(e.router.Listener(l)) }},
 		{"lookup-server", e.settings.Listen.Lookup, auxiliary[0].Serve},
 		{"ready-server", e.settings.Listen.Ready, auxiliary[1].Serve},
 		{"metrics-server", e.settings.Listen.Metrics, auxiliary[2].Serve},
--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -57,17 +58,22 @@
 	arrived := time.Now()
 	t.running.Add(1)
 	defer t.running.Add(-1)
-	if t.leaving.Load() {
+	id := r.Header.Get(t.headers.RequestID)
+	var early *pending
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if ok {
+		early = c.begin(id, r.RequestURI)
+		defer c.end()
+	}
+	if t.leaving.Load() && (!ok || c.seal()) {
 		w.Header().Set("Connection", "close")
 	}
-	request, refused := t.parseRequest(w, r, arrived)
 	var result forward.Result
-	if refused != nil {
-		result.Refusal = refused
-		t.logger.Info("request refused", zap.String("request", request.ID), zap.String("reason", string(refused.Reason)),
-			zap.Int("status", refused.Status), zap.Bool("not-run", true))
+	if early != nil {
+		<-early.done
+		result, arrived = early.result, early.arrived
 	} else {
-		result = t.forwarder.Forward(r.Context(), request)
+		result = t.handle(r.Context(), w, r, arrived)
 	}
 	defer func() { t.meter.Observe(teamLabel(result.Team), result.Route, time.Since(arrived)) }()
 	if result.Refusal != nil {
@@ -76,7 +82,44 @@
 		return
 	}
 	t.meter.Count("medlarpond_answers_total", "status", strconv.Itoa(result.Response.Status))
-	t.writeResponse(w, result.Response, request.ID)
+	t.writeResponse(w, result.Response, id)
+}
+
+// handle parses and forwards a request.
+func (t *Router) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, arrived time.Time) forward.Result {
+	request, refused := t.parseRequest(w, r, arrived)
+	if refused != nil {
+		t.logger.Info("request refused", zap.String("request", request.ID), zap.String("reason", string(refused.Reason)),
+			zap.Int("status", refused.Status), zap.Bool("not-run", true))
+		return forward.Result{Refusal: refused}
+	}
+	return t.forwarder.Forward(ctx, request)
+}
+
+// startEarly starts to handle a request without a body whose turn on its connection has not come. It returns nil for a
+// request that must wait: without an ID its result could not be found again, and if the connection breaks off before its
+// turn, the caller sends it again.
+func (t *Router) startEarly(ctx context.Context, r *http.Request) *pending {
+	id := r.Header.Get(t.headers.RequestID)
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if id == "" || t.leaving.Load() || !t.forwarder.IsIdempotent(stripPort(r.Host), path) {
+		return nil
+	}
+	p := &pending{id: id, uri: r.RequestURI, arrived: time.Now(), done: make(chan struct{})}
+	t.meter.Count("medlarpond_pipelined_requests_total", "handled", "early")
+	t.running.Add(1)
+	go func() {
+		defer t.running.Add(-1)
+		defer close(p.done)
+		defer func() {
+			if cause := recover(); cause != nil {
+				t.logger.Error("handling a request failed unexpectedly", zap.String("request", id), zap.Any("cause", cause), zap.Stack("stack"))
+				p.result = forward.Result{Refusal: refusal.NewMayHaveRun(http.StatusBadGateway, refusal.OutcomeUnknown, "the instance failed to handle the request")}
+			}
+		}()
+		p.result = t.handle(ctx, nil, r, p.arrived)
+	}()
+	return p
 }
 
 // parseRequest extracts the data on which the handling of a request depends, and removes the headers that must not be
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -75,7 +75,9 @@
 		},
 	})
 	s.router = front.New(s.forwarder, headers, meter.New(), zap.NewNop())
-	server := httptest.NewServer(s.router)
+	server := httptest.NewUnstartedServer(s.router)
+	server.Listener, server.Config.ConnContext = s.router.Listener(server.Listener), s.router.ConnContext
+	server.Start()
 	t.Cleanup(server.Close)
 	s.address = server.Listener.Addr().String()
 	s.setIntent(t, 1, nil)
--- /dev/null
+++ b/core/routers/front/readahead.go
@@ -0,0 +1,264 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"medlarpond.dev/core/services/forward"
+)
+
+const (
+	// maxAhead is the maximum number of requests on one connection that are handled before the server has read them.
+	maxAhead = 8
+	// maxAheadBytes is the maximum number of bytes that are read from a connection before the server asks for them.
+	maxAheadBytes = 16 << 10
+	// hostField begins the Host header in lower case.
+	hostField = "\nhost:"
+)
+
+// callerConn is a connection of a caller that may send further requests before the response to the first (pipelining).
+// The HTTP server handles the requests of a connection one after the other. So that a request need not wait for the ones
+// before it, callerConn looks for further requests in what the server reads, and starts to handle those that are
+// idempotent and have no body. The server reads them as usual, in order, and its handler takes the result. All limits of
+// the server hold.
+//
+// The server reads from a connection while a handler runs, to notice that the caller has disconnected. callerConn uses
+// this read to look for further requests.
+type callerConn struct {
+	net.Conn
+	// start starts to handle a request; it returns nil for one that must wait for its turn. cancel cancels all requests that
+	// have been started.
+	start  func(r *http.Request) *pending
+	cancel context.CancelFunc
+
+	// ahead holds bytes that have been read before the server asked for them. Only Read uses it and ended; the server
+	// never calls Read concurrently.
+	ahead []byte
+	// ended is the error of the connection, returned after the bytes in ahead.
+	ended error
+
+	mu sync.Mutex
+	// head is the part of the next request that has been read. It is nil once requests cannot be told apart, for instance
+	// after one with a body; no further request is handled early then.
+	head []byte
+	// running is true while the server handles a request. waiting is the number of requests that have been read from the
+	// connection and which the server does not handle yet.
+	running bool
+	waiting int
+	// pending holds the requests that are handled early, queued those behind them which are started as soon as pending has
+	// room, in order. sealed is true if no further one may be started.
+	pending []*pending
+	queued  []*http.Request
+	sealed  bool
+}
+
+// pending is a request that is handled before the server has read it.
+type pending struct {
+	id, uri string
+	arrived time.Time
+	// done is closed when result is set.
+	done   chan struct{}
+	result forward.Result
+}
+
+// discard releases a result that is not delivered.
+func (p *pending) discard() {
+	<-p.done
+	if p.result.Response != nil && p.result.Response.Rest != nil {
+		_ = p.result.Response.Rest.Close()
+	}
+}
+
+// connKey is the context key of the caller's connection.
+type connKey struct{}
+
+// Listener returns a listener whose connections handle pipelined requests at the same time. ConnContext must be set in
+// the server.
+func (t *Router) Listener(l net.Listener) net.Listener { return &listener{Listener: l, router: t} }
+
+// ConnContext makes a connection known to the handler.
+func (t *Router) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+type listener struct {
+	net.Listener
+	router *Router
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &callerConn{
+		Conn: c, cancel: cancel, head: []byte{},
+		start: func(r *http.Request) *pending { return l.router.startEarly(ctx, r) },
+	}, nil
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	switch {
+	case len(b) == 1 && c.ended == nil:
+		// The server asks for a single byte while a handler runs.
+		if err := c.readAhead(); err != nil {
+			return 0, err
+		}
+	case len(c.ahead) == 0 && c.ended == nil:
+		n, err := c.Conn.Read(b)
+		c.scan(b[:n])
+		c.checkEnded(err)
+		return n, err
+	case len(c.ahead) == 0:
+		return 0, c.ended
+	}
+	n := copy(b, c.ahead)
+	c.ahead = c.ahead[n:]
+	return n, nil
+}
+
+// readAhead reads while the server handles a request, until the server cancels the read, the connection ends or the bounds
+// are reached.
+func (c *callerConn) readAhead() error {
+	buffer := make([]byte, 1024)
+	for len(c.ahead) == 0 || (len(c.ahead) < maxAheadBytes && c.mayRead()) {
+		n, err := c.Conn.Read(buffer)
+		c.ahead = append(c.ahead, buffer[:n]...)
+		c.scan(buffer[:n])
+		if err != nil {
+			c.checkEnded(err)
+			return err
+		}
+	}
+	return nil
+}
+
+// checkEnded cancels the requests that have been started if the error of a read means that the connection has ended. The
+// server ends its own reads with a timeout.
+func (c *callerConn) checkEnded(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = err
+		c.cancel()
+	}
+}
+
+// mayRead reports whether further requests could be found and handled early.
+func (c *callerConn) mayRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head != nil && !c.sealed && len(c.queued) < maxAhead
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.cancel()
+	c.mu.Lock()
+	unused := c.pending
+	c.pending, c.queued, c.sealed = nil, nil, true
+	c.mu.Unlock()
+	for _, p := range unused {
+		go p.discard()
+	}
+	return c.Conn.Close()
+}
+
+// scan looks for complete requests in what has been read.
+func (c *callerConn) scan(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == nil || len(b) == 0 {
+		return
+	}
+	c.head = append(c.head, b...)
+	for len(c.head) > 0 {
+		end := bytes.Index(c.head, []byte("\r\n\r\n"))
+		if end < 0 {
+			if len(c.head) > maxAheadBytes {
+				c.head = nil
+			}
+			return
+		}
+		end += len("\r\n\r\n")
+		if !c.scanRequest(c.head[:end]) {
+			c.head = nil
+			return
+		}
+		c.head = c.head[end:]
+	}
+}
+
+// scanRequest handles the head of one request. It returns false if the next request cannot be found or must not be handled
+// early. The caller must hold c.mu.
+func (c *callerConn) scanRequest(head []byte) bool {
+	if !bytes.HasPrefix(head, []byte("GET ")) && !bytes.HasPrefix(head, []byte("HEAD ")) {
+		return false
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Proto != "HTTP/1.1" || r.Close ||
+		r.Header.Get("Upgrade") != "" || r.Header.Get("Expect") != "" || bytes.Count(bytes.ToLower(head), []byte(hostField)) != 1 {
+		return false
+	}
+	// The server reads the first request on an idle connection at once.
+	isNext := !c.running && c.waiting == 0
+	c.waiting++
+	if !isNext {
+		c.queued = append(c.queued, r)
+		c.startQueued()
+	}
+	return true
+}
+
+// startQueued starts queued requests while pending has room. The caller must hold c.mu.
+func (c *callerConn) startQueued() {
+	for len(c.queued) > 0 && len(c.pending) < maxAhead && !c.sealed {
+		if p := c.start(c.queued[0]); p != nil {
+			c.pending = append(c.pending, p)
+		}
+		c.queued = c.queued[1:]
+	}
+}
+
+// begin records that the server handles a request. It returns the request as it was started early, or nil.
+func (c *callerConn) begin(id, uri string) *pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running = true
+	c.waiting = max(0, c.waiting-1)
+	if len(c.pending) > 0 && c.pending[0].id == id && c.pending[0].uri == uri {
+		p := c.pending[0]
+		c.pending = c.pending[1:]
+		c.startQueued()
+		return p
+	}
+	// The request was not started: its turn has come before pending had room, or it must wait for its turn.
+	if len(c.queued) > c.waiting {
+		c.queued = c.queued[1:]
+	}
+	return nil
+}
+
+// end records that the server has handled a request.
+func (c *callerConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running = false
+}
+
+// seal prevents that further requests are handled early, and reports whether none is: the connection may be closed after
+// the current response.
+func (c *callerConn) seal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return len(c.pending) == 0
+}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -152,6 +152,16 @@
 	rateCharged bool
 }
 
+// IsIdempotent reports whether the requests for a host and path may run more than once.
+func (f *Forwarder) IsIdempotent(host, path string) bool {
+	i := f.State.View().Intent
+	if i == nil {
+		return false
+	}
+	route, ok := i.RouteOf(host, path)
+	return ok && route.Idempotent
+}
+
 // Forward handles the request and returns its outcome.
 func (f *Forwarder) Forward(ctx context.Context, r Request) Result {
 	c := &call{Request: r}
