front: buffer uploads while there is memory, bound streamed ones

Cause, by reading and by tests that fail first: - a body over 64 KiB was streamed to the first target, and one that shed the request ended it with 503, though uploads have 60 kB on average and up to 360 kB. A slow caller held a target's attention from the first 64 KiB on. - a chunked body was never held against the operators' limit once it was streamed: the target got 2,097,153 bytes where 2,097,152 are allowed. - a body that became malformed while it was streamed kept the request until its deadline, and counted as a failure of the target, so four of them ejected it.

The limit holds while streaming (413, without a promise that nothing ran). An attempt whose body cannot be read ends at once and says nothing about the target. A streamed request whose connection was refused may use another target.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// maxBufferedBytes is the maximum number of body bytes that are buffered before a target is chosen. A request whose
-	// body fits can be retried.
-	maxBufferedBytes = 64 << 10
 	// bodyTimeout limits the time until the buffered part of a body has been received.
 	bodyTimeout  = 10 * time.Second
 	bearerPrefix = "Bearer "
@@ -40,6 +37,7 @@
 	leaving atomic.Bool
 	// running is the number of requests in progress.
 	running atomic.Int64
+	bodies  bodyBuffers
 }
 
 // New returns a Router.
@@ -88,6 +86,7 @@
 // handle parses and forwards a request.
 func (t *Router) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, arrived time.Time) forward.Result {
 	request, refused := t.parseRequest(w, r, arrived)
+	defer func() { t.bodies.release(request.Body) }()
 	if refused != nil {
 		t.logger.Info("request refused", zap.String("request", request.ID), zap.String("reason", string(refused.Reason)),
 			zap.Int("status", refused.Status), zap.Bool("not-run", true))
@@ -146,22 +145,33 @@
 	if r.Method == http.MethodConnect {
 		return request, refusal.New(http.StatusNotImplemented, refusal.UpgradeRefused, "CONNECT is not supported")
 	}
-	return request, t.readBody(w, r, &request)
+	refused := t.readBody(w, r, &request)
+	return request, refused
 }
 
-// readBody buffers up to maxBufferedBytes of the body, so that a slow caller does not occupy a target.
+// readBody buffers the beginning of the body, or all of it if there is memory for it.
 func (t *Router) readBody(w http.ResponseWriter, r *http.Request, request *forward.Request) *refusal.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if limit := t.forwarder.MaxBodyBytes(); limit > 0 {
+		if r.ContentLength > limit {
+			return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(request.Arrived.Add(bodyTimeout))
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
-	if err != nil {
+	buffered, whole, err := t.bodies.read(r.Body, r.ContentLength)
+	request.Body = buffered
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
+	case err != nil:
 		return refusal.New(http.StatusBadRequest, refusal.Malformed, "the body did not arrive whole")
 	}
-	request.Body = buffered
-	if len(buffered) == maxBufferedBytes && r.ContentLength != maxBufferedBytes {
+	if !whole {
 		request.Rest = r.Body
 		return nil
 	}
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -127,6 +127,13 @@
 	s.state.SetIntent(i, version)
 }
 
+// replaceTarget replaces the only target by one at another address, with the given number of slots.
+func (s *testInstance) replaceTarget(address string, slots int) {
+	s.state.UpdateTargets([]roster.Target{{
+		ID: "t-0", Service: "orders", Address: address, Place: localPlace, Slots: slots, Started: 1, Revision: 100,
+	}}, nil)
+}
+
 func (s *testInstance) receivedRequests() []received {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -53,7 +53,8 @@
 			f.Logger.Info("retry budget of the service is exhausted; the request is not retried further", zap.String("request", c.ID), zap.String("service", c.service))
 			break
 		}
-		response, outcome, sent := f.tryTarget(ctx, c, choice)
+		response, outcome, err := f.tryTarget(ctx, c, choice)
+		sent := !target.IsNotSent(err)
 		retrySame := outcome == outcomeNotRun && f.reportsFreeSlots(response) && c.lastTarget != choice.Target.ID
 		c.lastTarget = choice.Target.ID
 		if outcome == outcomeAnswered {
@@ -71,7 +72,8 @@
 		if outcome != outcomeNotRun {
 			c.possibleRuns++
 		}
-		if ctx.Err() != nil || (c.possibleRuns > 0 && (!c.route.Idempotent || c.possibleRuns >= c.route.MaxAttempts)) || c.Rest != nil {
+		if ctx.Err() != nil || (c.possibleRuns > 0 && (!c.route.Idempotent || c.possibleRuns >= c.route.MaxAttempts)) || (c.Rest != nil && sent) {
+			c.bodyTooLarge = isBodyTooLarge(err)
 			break
 		}
 	}
@@ -105,6 +107,8 @@
 	switch {
 	case failedResponse != nil:
 		return failedResponse, nil
+	case c.bodyTooLarge:
+		return nil, refusal.NewMayHaveRun(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
 	case c.possibleRuns > 0 && expired:
 		return nil, refusal.NewMayHaveRun(http.StatusGatewayTimeout, refusal.OutcomeUnknown, "no target answered in time")
 	case c.possibleRuns > 0:
@@ -118,9 +122,14 @@
 	}
 }
 
-// tryTarget sends the request to the selected target. sent is false if no part of the request can have reached the
-// target.
-func (f *Forwarder) tryTarget(ctx context.Context, c *call, choice placement.Choice) (resp *target.Response, outcome requestOutcome, sent bool) {
+// isBodyTooLarge reports whether an attempt failed because the caller sent more than the limit of the intent.
+func isBodyTooLarge(err error) bool {
+	var tooLarge *http.MaxBytesError
+	return errors.As(err, &tooLarge)
+}
+
+// tryTarget sends the request to the selected target. The error is that of the exchange.
+func (f *Forwarder) tryTarget(ctx context.Context, c *call, choice placement.Choice) (*target.Response, requestOutcome, error) {
 	started := time.Now()
 	idle := f.Policy.UnsafeIdle
 	if c.route.Idempotent {
@@ -151,7 +160,7 @@
 		f.Logger.Warn("target ejected after failures", zap.String(logging.FieldTarget, choice.Target.ID),
 			zap.String("service", c.service))
 	}
-	return response, outcome, !target.IsNotSent(err)
+	return response, outcome, err
 }
 
 // classify returns what a response or error means for the request and for the target's health.
@@ -163,6 +172,10 @@
 		if target.IsNotSent(err) {
 			return outcomeNotRun, placement.OutcomeUnreachable
 		}
+		var body *target.ErrRequestBody
+		if errors.As(err, &body) {
+			return outcomeUnknown, placement.OutcomeCancelled
+		}
 		if time.Until(c.deadline) < minAttemptTime {
 			return outcomeUnknown, placement.OutcomeTimedOut
 		}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -148,6 +148,8 @@
 	lastTarget      string
 	// possibleRuns is the number of targets that may have run the request.
 	possibleRuns int
+	// bodyTooLarge is true if the body turned out to be over the limit while it was sent to a target.
+	bodyTooLarge bool
 	// rateCharged is true if the request was counted against the team's rate limit.
 	rateCharged bool
 }
@@ -162,6 +164,14 @@
 	return ok && route.Idempotent
 }
 
+// MaxBodyBytes returns the limit on the size of a request body; zero if there is none.
+func (f *Forwarder) MaxBodyBytes() int64 {
+	if i := f.State.View().Intent; i != nil {
+		return i.Limits.BodyBytes
+	}
+	return 0
+}
+
 // Forward handles the request and returns its outcome.
 func (f *Forwarder) Forward(ctx context.Context, r Request) Result {
 	c := &call{Request: r}
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -92,6 +93,33 @@
 	return fmt.Sprintf("%s is over the limit of %d bytes", e.Part, e.Limit)
 }
 
+// ErrRequestBody is the cause of an interrupted exchange whose request body could not be read to its end. The target is not
+// at fault.
+type ErrRequestBody struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *ErrRequestBody) Error() string { return "reading the request body: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrRequestBody) Unwrap() error { return e.Cause }
+
+// bodySource is the remainder of a request body. It keeps the error with which reading ended, if any.
+type bodySource struct {
+	io.Reader
+	failure atomic.Pointer[ErrRequestBody]
+}
+
+// Read implements io.Reader.
+func (s *bodySource) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.failure.Store(&ErrRequestBody{Cause: err})
+	}
+	return n, err
+}
+
 // boundedReader reads from a connection and fails after limit bytes, unless limit is zero.
 type boundedReader struct {
 	source io.Reader
@@ -137,16 +165,30 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	writeResult := make(chan error, 1)
+	source := &bodySource{Reader: x.Request.Rest}
 	if x.Request.Rest == nil && len(x.Request.Body) <= maxInlineRequest {
 		writeResult <- x.Request.write(c)
 	} else {
-		go func() { writeResult <- x.Request.write(c) }()
+		if x.Request.Rest != nil {
+			x.Request.Rest = source
+		}
+		go func() {
+			err := x.Request.write(c)
+			if source.failure.Load() != nil {
+				// The target would wait for the rest of the body.
+				_ = c.Close()
+			}
+			writeResult <- err
+		}()
 	}
 	response, reusable, err := c.readResponse(x)
 	if err != nil {
 		if c.bound.exceeded != nil {
 			err = c.bound.exceeded
 		}
+		if failure := source.failure.Load(); failure != nil {
+			err = failure
+		}
 		stop()
 		_ = c.Close()
 		if ctx.Err() != nil {
