forward: start the round robin of a split at random, in one scale

Credits were kept in the scale of the weights and by route only: after weights of 900:100, the first service of a route at 1:9 got 0 of 43 requests, and services that replaced others inherited their credits.

Change: a round robin starts at a random point, credits are in requests, and a route whose services have changed starts anew.

--- a/core/services/forward/split.go
+++ b/core/services/forward/split.go
@@ -1,20 +1,32 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"medlarpond.dev/core/models/intent"
 )
 
-// weightedSplitter distributes the requests of each route over its services by smooth weighted round robin.
+// maxSplitPhase is the number of requests among which the start of a new round robin is chosen at random.
+const maxSplitPhase = 64
+
+// weightedSplitter distributes the requests of each route over its services by smooth weighted round robin. Load pattern:
+// many instances, each of which gets a few requests of a route, and weights that change while requests arrive.
 type weightedSplitter struct {
 	mu sync.Mutex
-	// credits holds the current round-robin weights of each route's services; their sum is zero.
-	credits map[string][]float64
+	// splits is keyed by route name.
+	splits map[string]*split
+}
+
+// split is the state of the round robin of a route.
+type split struct {
+	services []intent.WeightedService
+	// credits holds the number of requests that each service is behind its share; their sum is zero.
+	credits []float64
 }
 
 func newWeightedSplitter() *weightedSplitter {
-	return &weightedSplitter{credits: map[string][]float64{}}
+	return &weightedSplitter{splits: map[string]*split{}}
 }
 
 // next returns the service for the next request.
@@ -24,19 +36,44 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	credits := s.credits[r.Name]
-	if len(credits) != len(r.Services) {
-		credits = make([]float64, len(r.Services))
-		s.credits[r.Name] = credits
+	state := s.splits[r.Name]
+	if state == nil || !sameServices(state.services, r.Services) {
+		// Instances that start at the same time would otherwise all begin with the same service.
+		state = &split{services: r.Services, credits: make([]float64, len(r.Services))}
+		for range rand.IntN(maxSplitPhase) {
+			state.next()
+		}
+		s.splits[r.Name] = state
 	}
+	state.services = r.Services
+	return state.services[state.next()].Service
+}
+
+// next returns the index of the service for the next request.
+func (s *split) next() int {
 	total, best := 0.0, 0
-	for i, service := range r.Services {
-		credits[i] += service.Weight
+	for _, service := range s.services {
 		total += service.Weight
-		if credits[i] > credits[best] {
+	}
+	for i, service := range s.services {
+		s.credits[i] += service.Weight / total
+		if s.credits[i] > s.credits[best] {
 			best = i
 		}
 	}
-	credits[best] -= total
-	return r.Services[best].Service
+	s.credits[best]--
+	return best
+}
+
+// sameServices reports whether two lists hold the same services in the same order, whatever their weights.
+func sameServices(a, b []intent.WeightedService) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Service != b[i].Service {
+			return false
+		}
+	}
+	return true
 }
