--- a/core/services/forward/split.go
+++ b/core/services/forward/split.go
@@ -37,7 +37,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.splits[r.Name]
-	if state == nil || !sameServices(state.services, r.Services) {
+	if state == nil || len(state.credits) != len(r.Services) {
 		// Instances that start at the same time would otherwise all begin with the same service.
 		state = &split{services: r.Services, credits: make([]float64, len(r.Services))}
 		for range rand.IntN(maxSplitPhase) {
@@ -64,16 +64,3 @@
 	s.credits[best]--
 	return best
 }
-
-// sameServices reports whether two lists hold the same services in the same order, whatever their weights.
-func sameServices(a, b []intent.WeightedService) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Service != b[i].Service {
-			return false
-		}
-	}
-	return true
-}
--- a/core/services/forward/split_test.go
+++ b/core/services/forward/split_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// TestSplitFollowsChangedServices checks that a route whose services are replaced does not inherit their credits.
+// TestSplitFollowsChangedServices replaces the services of a route by others, and then adds one.
 func TestSplitFollowsChangedServices(t *testing.T) {
 	s := newWeightedSplitter()
 	old := splitRoute(99, 1)
@@ -79,4 +79,12 @@
 	if counts["other-0"] != 2 {
 		t.Errorf("got %v for 4 requests at equal weights, want 2 each", counts)
 	}
+	clear(counts)
+	r = splitRoute(1, 1, 1)
+	for range 6 {
+		counts[s.next(r)]++
+	}
+	if counts["s-0"] != 2 || counts["s-1"] != 2 {
+		t.Errorf("got %v for 6 requests at equal weights, want 2 each", counts)
+	}
 }
