target, peer, placement: late copies, panics in methods, impossible figures

- A late copy of a response, on a connection in use again: responses are told apart by the ID of the request, but a second attempt at the same target sends the same ID.
A late copy of the first response ("not run") was taken for the second, which ran; a request that must not run twice could then go to another target.
An attempt now uses no connection on which the same request was sent last.
- One unexpected error took a process down: net/rpc runs methods without a recover, so a panic in one of eleven methods ended the instance.
Each begins with a recover now; its caller gets the panic as an error and logs it.
- Malformed figures: a load that is not a number, or one of 1e300, from a neighbor or a target's header made every later estimate of a failure domain wrong, or kept a target unused for minutes; an announced interval of an hour kept a dead neighbor's load for six.
Figures outside of what can be are dropped.

Ruled out, with the tests that hold it: a copy that arrives while the connection is idle (isReusable) or that belongs to another request (TestResponseMatchesRequest).

--- a/core/modules/peer/peer.go
+++ b/core/modules/peer/peer.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,25 @@
 // Unwrap returns the cause.
 func (e *ErrUnreachable) Unwrap() error { return e.Cause }
 
+// ErrPanicked is returned by a method that has panicked. Its caller receives the text.
+type ErrPanicked struct {
+	Cause any
+	Stack string
+}
+
+// Error implements error.
+func (e *ErrPanicked) Error() string {
+	return fmt.Sprintf("method panicked: %v\n%s", e.Cause, e.Stack)
+}
+
+// Recover turns a panic of a method into its error, so that one unexpected call does not end the process: net/rpc runs
+// methods without a recover. Every registered method defers it first.
+func Recover(err *error) {
+	if cause := recover(); cause != nil {
+		*err = &ErrPanicked{Cause: cause, Stack: string(debug.Stack())}
+	}
+}
+
 // Client calls one peer. It dials on first use, and again after a connection has failed or stopped responding.
 type Client struct {
 	address string
--- a/core/routers/peer/changes.go
+++ b/core/routers/peer/changes.go
@@ -27,7 +27,8 @@
 }
 
 // Ask handles a poll.
-func (c *Changes) Ask(args ChangesArgs, reply *ChangesReply) error {
+func (c *Changes) Ask(args ChangesArgs, reply *ChangesReply) (err error) {
+	defer peer.Recover(&err)
 	// A net/rpc call has no context; handlePoll limits its own wait.
 	reply.Answer = c.handlePoll(context.Background(), args.Question)
 	return nil
--- a/core/routers/peer/contact.go
+++ b/core/routers/peer/contact.go
@@ -30,7 +30,8 @@
 }
 
 // Get returns the contact of this instance.
-func (c *StoreContact) Get(_ StoreContactArgs, reply *StoreContactReply) error {
+func (c *StoreContact) Get(_ StoreContactArgs, reply *StoreContactReply) (err error) {
+	defer peer.Recover(&err)
 	reply.Unbroken = c.unbroken()
 	return nil
 }
--- a/core/routers/peer/exchange.go
+++ b/core/routers/peer/exchange.go
@@ -70,13 +70,15 @@
 }
 
 // Exchange handles a message from a peer.
-func (e *Exchange) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+func (e *Exchange) Exchange(args ExchangeArgs, reply *ExchangeReply) (err error) {
+	defer peer.Recover(&err)
 	reply.Message = e.handleMessage(args.Message)
 	return nil
 }
 
 // Image returns a chunk of an image of the configuration.
-func (e *Exchange) Image(args ImageArgs, reply *ImageReply) error {
+func (e *Exchange) Image(args ImageArgs, reply *ImageReply) (err error) {
+	defer peer.Recover(&err)
 	image, err := e.imageAt(args.Revision)
 	if err != nil {
 		return err
--- a/core/routers/peer/loads.go
+++ b/core/routers/peer/loads.go
@@ -29,7 +29,8 @@
 }
 
 // Tell handles a load update.
-func (l *Loads) Tell(args LoadsArgs, _ *LoadsReply) error {
+func (l *Loads) Tell(args LoadsArgs, _ *LoadsReply) (err error) {
+	defer peer.Recover(&err)
 	l.merge(args.Message.From, args.Message.Told)
 	return nil
 }
--- a/core/routers/peer/request.go
+++ b/core/routers/peer/request.go
@@ -54,31 +54,36 @@
 }
 
 // Claim handles a claim of an idempotency key.
-func (r *Request) Claim(args ClaimArgs, reply *ClaimReply) error {
+func (r *Request) Claim(args ClaimArgs, reply *ClaimReply) (err error) {
+	defer peer.Recover(&err)
 	reply.Answer = r.claims.Claim(args.Claim)
 	return nil
 }
 
 // Withdraw removes a claim of an idempotency key.
-func (r *Request) Withdraw(args ClaimArgs, _ *EmptyReply) error {
+func (r *Request) Withdraw(args ClaimArgs, _ *EmptyReply) (err error) {
+	defer peer.Recover(&err)
 	r.claims.Withdraw(args.Claim)
 	return nil
 }
 
 // Adopt stores claims that were granted by other instances.
-func (r *Request) Adopt(args AdoptArgs, _ *EmptyReply) error {
+func (r *Request) Adopt(args AdoptArgs, _ *EmptyReply) (err error) {
+	defer peer.Recover(&err)
 	r.claims.Adopt(args.Entries)
 	return nil
 }
 
 // Grant grants one more attempt of a suspected request, unless it was already granted or the request is blocked.
-func (r *Request) Grant(args SuspectArgs, reply *GrantReply) error {
+func (r *Request) Grant(args SuspectArgs, reply *GrantReply) (err error) {
+	defer peer.Recover(&err)
 	reply.Granted = r.guard.Grant(args.Fingerprint)
 	return nil
 }
 
 // Note records an event of an attempt of a suspected request.
-func (r *Request) Note(args EventArgs, _ *EmptyReply) error {
+func (r *Request) Note(args EventArgs, _ *EmptyReply) (err error) {
+	defer peer.Recover(&err)
 	r.guard.Record(args.Fingerprint, args.Event)
 	return nil
 }
--- a/core/routers/peer/share.go
+++ b/core/routers/peer/share.go
@@ -27,7 +27,8 @@
 }
 
 // Lend handles a loan request.
-func (s *Share) Lend(args LendArgs, reply *LendReply) error {
+func (s *Share) Lend(args LendArgs, reply *LendReply) (err error) {
+	defer peer.Recover(&err)
 	reply.Reply = s.lend(args.Request)
 	return nil
 }
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -45,6 +45,8 @@
 	slownessGain = 0.25
 	// maxSlowness is the maximum slowness of a target, the factor by which it is slower than expected.
 	maxSlowness = 16.0
+	// maxReportedLoad is the largest number of requests at a target that is believed. A report above it is malformed.
+	maxReportedLoad = 10_000
 	// idleTargetTTL is how long the state of an unused target is kept.
 	idleTargetTTL = 2 * time.Minute
 )
@@ -78,6 +80,11 @@
 	Known bool
 }
 
+// isPlausible reports whether the report can be true.
+func (r Report) isPlausible() bool {
+	return r.Known && r.Running >= 0 && r.Waiting >= 0 && r.Running <= maxReportedLoad && r.Waiting <= maxReportedLoad
+}
+
 // LoadTracker tracks the load and health of targets as seen by one instance. It is safe for concurrent use.
 type LoadTracker struct {
 	mu sync.Mutex
@@ -276,7 +283,7 @@
 	state.inFlight = max(0, state.inFlight-1)
 	now := time.Now()
 	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad}
-	if a.Report.Known {
+	if a.Report.isPlausible() {
 		state.externalLoad = max(0, float64(a.Report.Running+a.Report.Waiting-state.inFlight)-l.neighborLoad(a.Target.ID, now))
 		state.externalLoadAt = now
 		state.domainLoad.update(state.externalLoad, now)
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -16,6 +16,8 @@
 	// neighborFailureWeight scales failures that a neighbor reports, as the neighbor's network path to the target may
 	// be the cause.
 	neighborFailureWeight = 0.5
+	// maxUpdateInterval bounds the interval that a neighbor announces, so that its state expires.
+	maxUpdateInterval = 5 * time.Second
 	// domainLoadGain is the weight of a new report in the average external load of a failure domain.
 	domainLoadGain = 0.1
 	// unknownLoad marks an external load that the target did not report.
@@ -99,7 +101,7 @@
 	sum := 0
 	for _, n := range l.neighbors {
 		if now.Before(n.expiresAt) {
-			sum += n.running[id]
+			sum += min(max(n.running[id], 0), maxReportedLoad)
 		}
 	}
 	return float64(sum)
@@ -141,7 +143,7 @@
 			delete(l.neighbors, id)
 		}
 	}
-	l.neighbors[from] = neighborState{running: update.Running, expiresAt: now.Add(neighborExpiryIntervals * update.Next)}
+	l.neighbors[from] = neighborState{running: update.Running, expiresAt: now.Add(neighborExpiryIntervals * min(max(update.Next, 0), maxUpdateInterval))}
 	for _, result := range update.News {
 		if state, ok := l.targets[result.Target]; ok && result.Started < state.started {
 			continue
@@ -149,14 +151,14 @@
 		state := l.stateOf(roster.Target{ID: result.Target, Started: result.Started})
 		state.usedAt = now
 		state.markWarm(result.Object, now)
-		if result.Outside >= 0 {
+		if result.Outside >= 0 && result.Outside <= maxReportedLoad {
 			state.externalLoad, state.externalLoadAt = result.Outside, now
 			state.domainLoad.update(result.Outside, now)
 		}
 		switch {
 		case result.Answered:
 			state.failures, state.failuresAt = state.decayedFailures(now)/2, now
-		case result.Failure > 0:
+		case result.Failure > 0 && result.Failure <= ejectionThreshold:
 			state.addSoftFailure(neighborFailureWeight*result.Failure, now)
 		}
 	}
--- a/core/services/placement/neighbors_test.go
+++ b/core/services/placement/neighbors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,3 +180,33 @@
 		}
 	})
 }
+
+// TestMalformedLoadsAreIgnored sends updates and reports with impossible figures. A target must be used as if they had not
+// come: one figure that is not a number would make every later estimate of the failure domain wrong.
+func TestMalformedLoadsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.addTargets(1, east1)
+		p, l := f.newPlacement("a", east1)
+		first := choose(t, p, l, query("x"))
+		for _, outside := range []float64{math.NaN(), math.Inf(1), 1e300} {
+			l.Merge("b", placement.LoadUpdate{
+				Running: map[string]int{first.ID: math.MaxInt}, Next: time.Hour,
+				News: []placement.AttemptResult{{Target: first.ID, Outside: outside, Failure: math.Inf(1)}, {Target: "", Object: "x"}},
+			})
+			l.Merge("c", placement.LoadUpdate{Running: map[string]int{first.ID: math.MinInt}, Next: -time.Hour})
+		}
+		l.End(placement.Attempt{
+			Target: first, Service: "orders", LatencyGoal: goal, Outcome: placement.OutcomeAnswered, Duration: time.Millisecond,
+			Report: placement.Report{Running: 1e9, Slots: 1, Known: true},
+		})
+		time.Sleep(31 * time.Second)
+		for n := range 9 {
+			if c, rejected, ok := p.Choose(query("x")); !ok {
+				t.Fatalf("request %d: got rejected candidates %+v, want the target", n, rejected)
+			} else if math.IsNaN(c.Load) || c.Load != float64(n) {
+				t.Errorf("request %d: got load %v, want %d", n, c.Load, n)
+			}
+		}
+	})
+}
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -155,10 +155,11 @@
 	if x.NonIdempotent {
 		maxIdle = min(maxIdle, p.safeIdle.limit(began))
 	}
-	c, err := p.get(ctx, x.Address, maxIdle, x.Deadline)
+	c, err := p.get(ctx, x.Address, x.ID, maxIdle, x.Deadline)
 	if err != nil {
 		return nil, err
 	}
+	c.requestID = x.ID
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		_ = c.Close()
 		return nil, &ErrNotSent{Cause: err}
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -431,3 +431,33 @@
 	clear(p)
 	return len(p), nil
 }
+
+// TestLateCopyOfSameRequest sends a request twice to a target that sheds the first attempt and sends a second copy of that
+// response late, when the connection is in use again. The copy has the ID of the request, as both attempts have the same;
+// taken for the response to the second attempt, it would say "not run" of an attempt that runs.
+func TestLateCopyOfSameRequest(t *testing.T) {
+	const shed = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n"
+	address := startServer(t, func(c net.Conn, number int) {
+		serveEach(c, func(id string, n int) bool {
+			if number == 0 && n == 0 {
+				_, _ = io.WriteString(c, shed)
+				return true
+			}
+			if number == 0 && id == "r" {
+				_, _ = io.WriteString(c, shed)
+			}
+			_, _ = io.WriteString(c, responseText(id, id))
+			return true
+		})
+	})
+	p := target.NewPool()
+	for n, want := range []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusOK} {
+		response, err := p.Do(t.Context(), newExchange(address, "r"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.Status != want {
+			t.Errorf("attempt %d: got status %d, want %d", n+1, response.Status, want)
+		}
+	}
+}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +46,8 @@
 	// reader buffers what bound lets through.
 	reader *bufio.Reader
 	bound  *boundedReader
+	// requestID is the ID of the request that was last sent on the connection.
+	requestID string
 	// idleSince is when the connection was last used; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is how long the connection may stay idle.
@@ -68,10 +71,12 @@
 	}
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one. Connecting is bounded by the deadline.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, error) {
+// get returns a connection that was idle for at most maxIdle, or a new one. Connecting is bounded by the deadline. The
+// connection has not carried the request with the given ID last: a late copy of the response to that attempt has the same
+// ID and could not be told from the response to this one.
+func (p *Pool) get(ctx context.Context, address, id string, maxIdle time.Duration, deadline time.Time) (*conn, error) {
 	for {
-		c := p.pop(address, maxIdle)
+		c := p.pop(address, id, maxIdle)
 		if c == nil {
 			break
 		}
@@ -91,18 +96,19 @@
 	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}, nil
 }
 
-// pop returns the most recently used idle connection of an address, or nil. A connection that was idle for longer
-// than maxIdle stays in the pool for requests that may use it.
-func (p *Pool) pop(address string, maxIdle time.Duration) *conn {
+// pop returns the most recently used idle connection of an address whose last request has another ID, or nil. A
+// connection that was idle for longer than maxIdle stays in the pool for requests that may use it.
+func (p *Pool) pop(address, id string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 || time.Since(list[len(list)-1].idleSince) > maxIdle {
-		return nil
+	for i := len(list) - 1; i >= 0 && time.Since(list[i].idleSince) <= maxIdle; i-- {
+		if c := list[i]; c.requestID != id {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool.
