front, target: match pipelined requests by order; large bodies read late

- FuzzPipeline sends the same bytes to a server that reads ahead and to one that does not, and compares the responses.
It found that two requests on a connection with the same ID and path got each other's response (a GET that of the HEAD behind it).
Requests that are started early are matched by their position on the connection now.
- A target that read nothing of a large body for 0.7 s, as the request waited in its queue, had its connection given up (TCP_USER_TIMEOUT counts while the window is closed), with an unknown outcome for a request that must not run twice.
Seen as 112 "connection timed out" in a trace of TestMemoryOfUploads.
While a large body is written, the timeout is the time to the deadline.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -60,7 +60,7 @@
 	var early *pending
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
 	if ok {
-		early = c.begin(id, r.RequestURI)
+		early = c.begin(r)
 		defer c.end()
 	}
 	if t.leaving.Load() && (!ok || c.seal()) {
@@ -96,15 +96,15 @@
 }
 
 // startEarly starts to handle a request without a body whose turn on its connection has not come. It returns nil for a
-// request that must wait: without an ID its result could not be found again, and if the connection breaks off before its
-// turn, the caller sends it again.
-func (t *Router) startEarly(ctx context.Context, r *http.Request) *pending {
+// request that must wait: one without an ID cannot be told from others at its target, and one that is not idempotent is sent
+// again by its caller if the connection breaks off before its turn.
+func (t *Router) startEarly(ctx context.Context, r foundRequest) *pending {
 	id := r.Header.Get(t.headers.RequestID)
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if id == "" || t.leaving.Load() || !t.forwarder.IsIdempotent(stripPort(r.Host), path) {
 		return nil
 	}
-	p := &pending{id: id, uri: r.RequestURI, arrived: time.Now(), done: make(chan struct{})}
+	p := &pending{request: r, arrived: time.Now(), done: make(chan struct{})}
 	t.meter.Count("medlarpond_pipelined_requests_total", "handled", "early")
 	t.running.Add(1)
 	go func() {
@@ -116,7 +116,7 @@
 				p.result = forward.Result{Refusal: refusal.NewMayHaveRun(http.StatusBadGateway, refusal.OutcomeUnknown, "the instance failed to handle the request")}
 			}
 		}()
-		p.result = t.handle(ctx, nil, r, p.arrived)
+		p.result = t.handle(ctx, nil, r.Request, p.arrived)
 	}()
 	return p
 }
--- a/core/routers/front/readahead.go
+++ b/core/routers/front/readahead.go
@@ -33,7 +33,7 @@
 	net.Conn
 	// start starts to handle a request; it returns nil for one that must wait for its turn. cancel cancels all requests that
 	// have been started.
-	start  func(r *http.Request) *pending
+	start  func(r foundRequest) *pending
 	cancel context.CancelFunc
 
 	// ahead holds bytes that have been read before the server asked for them. Only Read uses it and ended; the server
@@ -46,20 +46,27 @@
 	// head is the part of the next request that has been read. It is nil once requests cannot be told apart, for instance
 	// after one with a body; no further request is handled early then.
 	head []byte
-	// running is true while the server handles a request. waiting is the number of requests that have been read from the
-	// connection and which the server does not handle yet.
+	// running is true while the server handles a request.
 	running bool
-	waiting int
+	// found is the number of requests that have been found, begun the number that the server has begun to handle.
+	found, begun int
 	// pending holds the requests that are handled early, queued those behind them which are started as soon as pending has
 	// room, in order. sealed is true if no further one may be started.
 	pending []*pending
-	queued  []*http.Request
+	queued  []foundRequest
 	sealed  bool
 }
 
+// foundRequest is a request that the server has not begun to handle.
+type foundRequest struct {
+	*http.Request
+	// number is the position of the request on its connection, counting from 1.
+	number int
+}
+
 // pending is a request that is handled before the server has read it.
 type pending struct {
-	id, uri string
+	request foundRequest
 	arrived time.Time
 	// done is closed when result is set.
 	done   chan struct{}
@@ -100,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &callerConn{
 		Conn: c, cancel: cancel, head: []byte{},
-		start: func(r *http.Request) *pending { return l.router.startEarly(ctx, r) },
+		start: func(r foundRequest) *pending { return l.router.startEarly(ctx, r) },
 	}, nil
 }
 
@@ -207,10 +214,10 @@
 		return false
 	}
 	// The server reads the first request on an idle connection at once.
-	isNext := !c.running && c.waiting == 0
-	c.waiting++
+	isNext := !c.running && c.found == c.begun
+	c.found++
 	if !isNext {
-		c.queued = append(c.queued, r)
+		c.queued = append(c.queued, foundRequest{Request: r, number: c.found})
 		c.startQueued()
 	}
 	return true
@@ -227,22 +234,26 @@
 }
 
 // begin records that the server handles a request. It returns the request as it was started early, or nil.
-func (c *callerConn) begin(id, uri string) *pending {
+func (c *callerConn) begin(r *http.Request) *pending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running = true
-	c.waiting = max(0, c.waiting-1)
-	if len(c.pending) > 0 && c.pending[0].id == id && c.pending[0].uri == uri {
-		p := c.pending[0]
-		c.pending = c.pending[1:]
-		c.startQueued()
-		return p
-	}
-	// The request was not started: its turn has come before pending had room, or it must wait for its turn.
-	if len(c.queued) > c.waiting {
+	c.begun++
+	// A request whose turn comes before pending has room for it is not started.
+	for len(c.queued) > 0 && c.queued[0].number <= c.begun {
 		c.queued = c.queued[1:]
 	}
-	return nil
+	if len(c.pending) == 0 || c.pending[0].request.number != c.begun {
+		return nil
+	}
+	p := c.pending[0]
+	c.pending = c.pending[1:]
+	c.startQueued()
+	if p.request.Method != r.Method || p.request.RequestURI != r.RequestURI {
+		go p.discard()
+		return nil
+	}
+	return p
 }
 
 // end records that the server has handled a request.
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -165,22 +165,12 @@
 		return nil, &ErrNotSent{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	writeResult := make(chan error, 1)
 	source := &bodySource{Reader: x.Request.Rest}
-	if x.Request.Rest == nil && len(x.Request.Body) <= maxInlineRequest {
-		writeResult <- x.Request.write(c)
-	} else {
-		if x.Request.Rest != nil {
-			x.Request.Rest = source
-		}
-		go func() {
-			err := x.Request.write(c)
-			if source.failure.Load() != nil {
-				// The target would wait for the rest of the body.
-				_ = c.Close()
-			}
-			writeResult <- err
-		}()
+	writeResult, err := c.startWriting(x, source)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, &ErrNotSent{Cause: err}
 	}
 	response, reusable, err := c.readResponse(x)
 	if err != nil {
@@ -214,6 +204,32 @@
 	return response, nil
 }
 
+// startWriting writes a small request, or starts to write a large one with its body from source while the response is read.
+// The result of writing is sent to the channel. No byte has been sent if it returns an error.
+func (c *conn) startWriting(x Exchange, source *bodySource) (<-chan error, error) {
+	result := make(chan error, 1)
+	if x.Request.Rest == nil && len(x.Request.Body) <= maxInlineRequest {
+		result <- x.Request.write(c)
+		return result, nil
+	}
+	if err := c.setPatience(max(time.Until(x.Deadline), unacknowledgedTimeout)); err != nil {
+		return nil, err
+	}
+	c.patient = true
+	if x.Request.Rest != nil {
+		x.Request.Rest = source
+	}
+	go func() {
+		err := x.Request.write(c)
+		if source.failure.Load() != nil {
+			// The target would wait for the rest of the body.
+			_ = c.Close()
+		}
+		result <- err
+	}()
+	return result, nil
+}
+
 func writeSucceeded(writeResult <-chan error) bool {
 	select {
 	case err := <-writeResult:
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -461,3 +461,46 @@
 		}
 	}
 }
+
+// TestTargetReadsLargeBodyLate sends an upload to a target that reads nothing for a while, as the request waits in its queue.
+// The connection must not be given up for that before the deadline.
+func TestTargetReadsLargeBodyLate(t *testing.T) {
+	const size, wait = 100 << 10, 1500 * time.Millisecond
+	address := startServer(t, func(c net.Conn, _ int) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		time.Sleep(wait)
+		serveEach(c, func(id string, _ int) bool {
+			_, err := io.WriteString(c, responseText(id, "done"))
+			return err == nil
+		})
+	})
+	p := target.NewPool()
+	for _, streamed := range []bool{false, true} {
+		x := newExchange(address, fmt.Sprint("streamed-", streamed))
+		x.Deadline = time.Now().Add(10 * time.Second)
+		x.Request.Body, x.Request.Length = make([]byte, size), size
+		if streamed {
+			x.Request.Body, x.Request.Rest = make([]byte, 1024), io.LimitReader(zeros{}, size-1024)
+		}
+		if response, err := p.Do(t.Context(), x); err != nil || string(response.Body) != "done" {
+			t.Errorf("streamed %t: got %v, %v; want the response of the target", streamed, response, err)
+		}
+	}
+}
+
+// TestTargetStopsReading checks that an upload to a target which stops reading for good ends at its deadline.
+func TestTargetStopsReading(t *testing.T) {
+	address := startServer(t, func(c net.Conn, _ int) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		time.Sleep(5 * time.Second)
+	})
+	x := newExchange(address, "x")
+	x.Deadline = time.Now().Add(time.Second)
+	x.Request.Body, x.Request.Rest, x.Request.Length = make([]byte, 1024), io.LimitReader(zeros{}, 64<<20), 1024+64<<20
+	started := time.Now()
+	_, err := target.NewPool().Do(t.Context(), x)
+	var interrupted *target.ErrInterrupted
+	if took := time.Since(started); !errors.As(err, &interrupted) || took > 1500*time.Millisecond {
+		t.Errorf("got error %v after %v, want an unknown outcome after 1s", err, took)
+	}
+}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -46,6 +46,8 @@
 	// reader buffers what bound lets through.
 	reader *bufio.Reader
 	bound  *boundedReader
+	// patient is true while sent data may stay unacknowledged for longer than unacknowledgedTimeout.
+	patient bool
 	// requestID is the ID of the request that was last sent on the connection.
 	requestID string
 	// idleSince is when the connection was last used; zero for a new connection.
@@ -114,10 +116,11 @@
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
 	c.idleSince = time.Now()
-	if c.SetDeadline(time.Time{}) != nil {
+	if c.SetDeadline(time.Time{}) != nil || (c.patient && c.setPatience(unacknowledgedTimeout) != nil) {
 		_ = c.Close()
 		return
 	}
+	c.patient = false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[address]) >= maxIdleConnections {
@@ -186,6 +189,20 @@
 	return err == nil && noData
 }
 
+// setPatience sets the time for which sent data may stay unacknowledged. A target that does not read a large body while the
+// request waits in its queue acknowledges nothing, although it is alive.
+func (c *conn) setPatience(d time.Duration) error {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setTCPUserTimeout(control, d)
+}
+
 // setUnacknowledgedTimeout bounds how long an unresponsive target can hold up a request.
 func setUnacknowledgedTimeout(_, _ string, raw syscall.RawConn) error {
 	return setTCPUserTimeout(raw, unacknowledgedTimeout)
