--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -129,6 +129,7 @@
 
 // keepConfirmed confirms the contact with the store until the end of the test; otherwise it is accepted for one second.
 func (s *testInstance) keepConfirmed(tb testing.TB) {
+	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
 	go func() {
