--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources core/services/dispatch:FuzzKey core/routers/front:FuzzPipeline
 
 fuzz:
-	for f in $(FUZZ); do go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) -parallel 4 ./$${f%:*} || exit 1; done
+	for f in $(FUZZ); do go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 5x -parallel 4 ./$${f%:*} || exit 1; done
 
 # Runs the property tests (pgregory.net/rapid) with CHECKS checks, many more than in CI. SEED 0 chooses a random seed.
 SEED ?= 0
