--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -95,32 +95,6 @@
 	return t.forwarder.Forward(ctx, request)
 }
 
-// startEarly starts to handle a request without a body whose turn on its connection has not come. It returns nil for a
-// request that must wait: one without an ID cannot be told from others at its target, and one that is not idempotent is sent
-// again by its caller if the connection breaks off before its turn.
-func (t *Router) startEarly(ctx context.Context, r foundRequest) *pending {
-	id := r.Header.Get(t.headers.RequestID)
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if id == "" || t.leaving.Load() || !t.forwarder.IsIdempotent(stripPort(r.Host), path) {
-		return nil
-	}
-	p := &pending{request: r, arrived: time.Now(), done: make(chan struct{})}
-	t.meter.Count("medlarpond_pipelined_requests_total", "handled", "early")
-	t.running.Add(1)
-	go func() {
-		defer t.running.Add(-1)
-		defer close(p.done)
-		defer func() {
-			if cause := recover(); cause != nil {
-				t.logger.Error("handling a request failed unexpectedly", zap.String("request", id), zap.Any("cause", cause), zap.Stack("stack"))
-				p.result = forward.Result{Refusal: refusal.NewMayHaveRun(http.StatusBadGateway, refusal.OutcomeUnknown, "the instance failed to handle the request")}
-			}
-		}()
-		p.result = t.handle(ctx, nil, r.Request, p.arrived)
-	}()
-	return p
-}
-
 // parseRequest extracts the data on which the handling of a request depends, and removes the headers that must not be
 // forwarded to a target.
 func (t *Router) parseRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *refusal.Refusal) {
