front, target: names without figures of speech

sealed and seal are closing and beginClosing (the seal is a header), patient and setPatience are longTimeout and setUserTimeout.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -63,7 +63,7 @@
 		early = c.begin(r)
 		defer c.end()
 	}
-	if t.leaving.Load() && (!ok || c.seal()) {
+	if t.leaving.Load() && (!ok || c.beginClosing()) {
 		w.Header().Set("Connection", "close")
 	}
 	var result forward.Result
--- a/core/routers/front/readahead.go
+++ b/core/routers/front/readahead.go
@@ -55,10 +55,10 @@
 	// found is the number of requests that have been found, begun the number that the server has begun to handle.
 	found, begun int
 	// pending holds the requests that are handled early, queued those behind them which are started as soon as pending has
-	// room, in order. sealed is true if no further one may be started.
+	// room, in order. closing is true if no further one may be started.
 	pending []*pending
 	queued  []foundRequest
-	sealed  bool
+	closing bool
 }
 
 // foundRequest is a request that the server has not begun to handle.
@@ -165,7 +165,7 @@
 func (c *callerConn) mayRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head != nil && !c.sealed && len(c.queued) < maxAhead
+	return c.head != nil && !c.closing && len(c.queued) < maxAhead
 }
 
 // Close implements net.Conn.
@@ -173,7 +173,7 @@
 	c.cancel()
 	c.mu.Lock()
 	unused := c.pending
-	c.pending, c.queued, c.sealed = nil, nil, true
+	c.pending, c.queued, c.closing = nil, nil, true
 	c.mu.Unlock()
 	for _, p := range unused {
 		go p.discard()
@@ -229,7 +229,7 @@
 
 // startQueued starts queued requests while pending has room. The caller must hold c.mu.
 func (c *callerConn) startQueued() {
-	for len(c.queued) > 0 && len(c.pending) < maxAhead && !c.sealed {
+	for len(c.queued) > 0 && len(c.pending) < maxAhead && !c.closing {
 		if p := c.start(c.queued[0]); p != nil {
 			c.pending = append(c.pending, p)
 		}
@@ -267,12 +267,12 @@
 	c.running = false
 }
 
-// seal prevents that further requests are handled early, and reports whether none is: the connection may be closed after
+// beginClosing prevents that further requests are handled early, and reports whether none is: the connection may be closed after
 // the current response.
-func (c *callerConn) seal() bool {
+func (c *callerConn) beginClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed = true
+	c.closing = true
 	return len(c.pending) == 0
 }
 
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -212,10 +212,10 @@
 		result <- x.Request.write(c)
 		return result, nil
 	}
-	if err := c.setPatience(max(time.Until(x.Deadline), unacknowledgedTimeout)); err != nil {
+	if err := c.setUserTimeout(max(time.Until(x.Deadline), unacknowledgedTimeout)); err != nil {
 		return nil, err
 	}
-	c.patient = true
+	c.longTimeout = true
 	if x.Request.Rest != nil {
 		x.Request.Rest = source
 	}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -46,8 +46,8 @@
 	// reader buffers what bound lets through.
 	reader *bufio.Reader
 	bound  *boundedReader
-	// patient is true while sent data may stay unacknowledged for longer than unacknowledgedTimeout.
-	patient bool
+	// longTimeout is true while sent data may stay unacknowledged for longer than unacknowledgedTimeout.
+	longTimeout bool
 	// requestID is the ID of the request that was last sent on the connection.
 	requestID string
 	// idleSince is when the connection was last used; zero for a new connection.
@@ -116,11 +116,11 @@
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
 	c.idleSince = time.Now()
-	if c.SetDeadline(time.Time{}) != nil || (c.patient && c.setPatience(unacknowledgedTimeout) != nil) {
+	if c.SetDeadline(time.Time{}) != nil || (c.longTimeout && c.setUserTimeout(unacknowledgedTimeout) != nil) {
 		_ = c.Close()
 		return
 	}
-	c.patient = false
+	c.longTimeout = false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || len(p.idle[address]) >= maxIdleConnections {
@@ -189,9 +189,9 @@
 	return err == nil && noData
 }
 
-// setPatience sets the time for which sent data may stay unacknowledged. A target that does not read a large body while the
+// setUserTimeout sets the time for which sent data may stay unacknowledged. A target that does not read a large body while the
 // request waits in its queue acknowledges nothing, although it is alive.
-func (c *conn) setPatience(d time.Duration) error {
+func (c *conn) setUserTimeout(d time.Duration) error {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
