target: bound the head of a response by 32 KiB

Cause: a head of 64 KiB with fields of six bytes has 10,900 values; parsed, with the growth of their list, it takes about 350 kB, five times its size. Seven of the eight kinds of bytes stay far below; this one was near the bound and passed or failed by when the garbage collector ran.

Change: half the bound on the head, so half the memory. The bound of the test is as it was. Passed with the race detector beside four busy processes.

--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -18,8 +18,9 @@
 	// breaks off before that, another target can still be tried. Two hundred such bodies at once fit into the memory of
 	// an instance.
 	maxBufferedResponse = 128 << 10
-	// maxResponseHead is the maximum size of the head of a response, and of each interim response.
-	maxResponseHead = 64 << 10
+	// maxResponseHead is the maximum size of the head of a response, and of each interim response. A head of many short
+	// fields takes several times its size once it is parsed.
+	maxResponseHead = 32 << 10
 	// maxDiscardedBody is the maximum size of the body of a mismatched response that is skipped to find the right one.
 	maxDiscardedBody = 64 << 10
 	// maxInlineRequest is the largest request body that is written before the response is read. It fits into the TCP
