target: buffer responses up to 64 KiB

Cause: io.ReadAll grows its buffer in steps, so a body of 128 KiB leaves as much garbage again, and with a busy collector both count. Half the buffer, so half of both; larger bodies are streamed, as before over 128 KiB. The bound of the test is as it was.

--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -17,7 +17,7 @@
 	// maxBufferedResponse is the largest response body that is read whole before it is passed on. If a response
 	// breaks off before that, another target can still be tried. Two hundred such bodies at once fit into the memory of
 	// an instance.
-	maxBufferedResponse = 128 << 10
+	maxBufferedResponse = 64 << 10
 	// maxResponseHead is the maximum size of the head of a response, and of each interim response. A head of many short
 	// fields takes several times its size once it is parsed.
 	maxResponseHead = 32 << 10
