forward: log and count targets that die while they have a request

Change: after a connection was lost before the response, the target's address is dialled. If it refuses, the target has died, and a line gives the request's fingerprint (method, host, URI, team, body), target and lifetime; medlarpond_target_crashes_total counts. A connection that is accepted is kept for the next request, so the check costs nothing then.

Ruled out: taking every lost connection for a death. Targets that lose answers, garble or drop idle connections close connections as well.

Run: TestRefusesConnections, and the tests of target, dispatch, forward and front with the race detector, passed.

--- a/core/services/crash/crash.go
+++ b/core/services/crash/crash.go
@@ -29,9 +29,6 @@
 	pollInterval = 5 * time.Millisecond
 )
 
-// Fingerprint identifies a request that may be sent again.
-type Fingerprint [32]byte
-
 // Event is a grant or an outcome of an attempt.
 type Event string
 
--- a/core/services/dispatch/body.go
+++ b/core/services/dispatch/body.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -112,25 +110,14 @@
 	if c.hasFingerprint {
 		return c.cachedFingerprint
 	}
-	h := sha256.New()
-	for _, part := range []string{c.request.Method, c.team, c.uri(), c.request.Header.Get(idempotencyKeyHeader)} {
-		writePart(h, []byte(part))
-	}
-	writePart(h, c.body.buffered)
-	writePart(h, strconv.AppendInt(nil, c.request.ContentLength, 10))
-	h.Sum(c.cachedFingerprint[:0])
+	c.cachedFingerprint = crash.NewFingerprint(
+		[]byte(c.request.Method), []byte(c.team), []byte(c.uri()), []byte(c.request.Header.Get(idempotencyKeyHeader)),
+		c.body.buffered, strconv.AppendInt(nil, c.request.ContentLength, 10),
+	)
 	c.hasFingerprint = true
 	return c.cachedFingerprint
 }
 
-// writePart writes a part preceded by its length, so that different lists of parts never give the same bytes.
-func writePart(w io.Writer, part []byte) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-	_, _ = w.Write(length[:])
-	_, _ = w.Write(part)
-}
-
 func (c *call) bodyTooLargeRefusal() *refusal.Refusal {
 	return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
 		"the body is over the limit of "+strconv.FormatInt(c.service.MaxBodyBytes, 10)+" bytes")
--- a/core/services/dispatch/claim.go
+++ b/core/services/dispatch/claim.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"medlarpond.dev/core/modules/digest"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/idempotency"
 )
@@ -44,11 +44,5 @@
 }
 
 func (c *call) claimKey(headerValue string) idempotency.Key {
-	h := sha256.New()
-	for _, part := range []string{c.team, c.route.Service, headerValue} {
-		writePart(h, []byte(part))
-	}
-	var key idempotency.Key
-	h.Sum(key[:0])
-	return key
+	return digest.Of([]byte(c.team), []byte(c.route.Service), []byte(headerValue))
 }
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -155,6 +155,7 @@
 		f.Meter.Count("medlarpond_oversized_responses_total", "part", oversized.Part)
 	}
 	f.logAttempt(c, choice, response, err, outcome, took)
+	f.checkForCrash(c, choice, err)
 	if ejected {
 		f.Meter.Count("medlarpond_ejections_total", "service", c.service)
 		f.Logger.Warn("target ejected after failures", zap.String(logging.FieldTarget, choice.Target.ID),
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -94,8 +95,23 @@
 	if err != nil {
 		return nil, &ErrNotSent{Cause: err}
 	}
+	return newConn(netConn), nil
+}
+
+// RefusesConnections reports whether an address refuses a new connection, as that of a target does whose process has ended. A
+// connection that is accepted is kept for the next request.
+func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
+	netConn, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(address, newConn(netConn))
+	return false
+}
+
+func newConn(netConn net.Conn) *conn {
 	bound := &boundedReader{source: netConn}
-	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}, nil
+	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}
 }
 
 // pop returns the most recently used idle connection of an address whose last request has another ID, or nil. A
--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -252,6 +252,21 @@
 	return errors.As(err, &e)
 }
 
+// IsConnectionLost reports whether an error means that the target's end of the connection closed after the request was
+// sent and before the response was complete.
+func IsConnectionLost(err error) bool {
+	var interrupted *ErrInterrupted
+	if !errors.As(err, &interrupted) {
+		return false
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // hopByHop lists the hop-by-hop headers.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
