crash, forward, platform: stop a request that has crashed three targets

Callers' view: a request that crashes each target that runs it, sent again through any instance, took down one or two targets each time, and with them the requests of others that they were running.

Cause: nothing on the platform remembered under which request a target had died. Attempts are bounded for one request ID, and a request that comes again has another one. The class: a bound on all instances together that each instance keeps for itself, and for one request ID only.

Ruled out: counts per instance (hypothesis 2: there are none) and ordinary retries (hypothesis 3: one request alone does it).

Change: a lost connection followed by a refused one is a death under the request's fingerprint. After three deaths the request gets 503 (not run). A request that any target completes is no longer a suspect, so a popular path is not blocked by targets that die for other reasons. An instance without the store counts its own. The batch delay of that watch falls from 2 s to 0.8 s, and settings refuse more than half of contact-within.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -24,6 +24,7 @@
 	peerrouter "medlarpond.dev/core/routers/peer"
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
+	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
@@ -86,6 +87,7 @@
 	logger   *zap.Logger
 	state    *belief.State
 	pool     *target.Pool
+	crashes  *crash.Tally
 	// forwarder admits requests and sends them to targets; router handles the HTTP exchange with callers.
 	forwarder *forward.Forwarder
 	router    *front.Router
@@ -128,7 +130,7 @@
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{
-		settings: s, logger: logger, state: state, pool: target.NewPool(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(),
+		settings: s, logger: logger, state: state, pool: target.NewPool(), crashes: crash.NewTally(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(),
 	}
 	e.broadcaster = neighbor.New(neighbor.Config{
 		Self: s.Instance.ID, Place: localPlace, State: state, Loads: loads, Send: peerrouter.SendLoads(e.peerPool), Logger: logger,
@@ -147,7 +149,7 @@
 		logger.Error("failed to register the peer RPC methods", zap.Error(err))
 	}
 	e.forwarder = forward.New(forward.Config{
-		State: state, Placement: chooser, Loads: loads, RateLimiter: rateLimiter, RetryBudget: retryBudget, Pool: e.pool,
+		State: state, Placement: chooser, Loads: loads, RateLimiter: rateLimiter, RetryBudget: retryBudget, Crashes: e.crashes, Pool: e.pool,
 		Headers: headers, Meter: e.meter, Logger: logger,
 		Policy: forward.Policy{
 			ConfirmTimeout: e.confirmTimeout(), MaxTries: s.Requests.MaxTries, UnsafeIdle: s.Requests.UnsafeIdle,
@@ -169,6 +171,9 @@
 // Witness returns the witness, whose Contact must record the responses of the store.
 func (e *Edge) Witness() *witness.Witness { return e.witness }
 
+// Crashes returns the tally of the targets that died under requests, which a duty of the platform shares among instances.
+func (e *Edge) Crashes() *crash.Tally { return e.crashes }
+
 // Meter returns the metrics of the instance.
 func (e *Edge) Meter() *meter.Meter { return e.meter }
 
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -22,6 +22,7 @@
 	"medlarpond.dev/core/routers/front"
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
+	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
@@ -68,7 +69,7 @@
 	s.forwarder = forward.New(forward.Config{
 		State: s.state, Placement: placement.New(s.state, "i-1", localPlace, []roster.Place{localPlace}, policy, loads), Loads: loads,
 		RateLimiter: rateLimiter, RetryBudget: allowance.NewRetryBudget(allowance.RetryPolicy{Ratio: 0.2, Reserve: 20}),
-		Pool: pool, Headers: headers, Meter: meter.New(), Logger: zap.NewNop(),
+		Crashes: crash.NewTally(), Pool: pool, Headers: headers, Meter: meter.New(), Logger: zap.NewNop(),
 		Policy: forward.Policy{
 			ConfirmTimeout: time.Second, MaxTries: 4, UnsafeIdle: time.Second, SafeIdle: time.Second,
 			UrgentQueuePerSlot: 2, OtherQueuePerSlot: 1,
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -41,16 +41,11 @@
 		if time.Until(c.deadline) < minAttemptTime {
 			break
 		}
-		query := f.newQuery(c)
-		choice, rejected, ok := f.Placement.Choose(query)
-		if !ok {
-			f.logNoTarget(c, query, rejected)
-			return f.refuseNoTarget(c, failedResponse, rejected)
+		choice, refused, ok := f.nextTarget(c, sentCount)
+		if refused != nil && c.possibleRuns == 0 {
+			return nil, refused
 		}
-		if sentCount > 0 && !f.RetryBudget.Withdraw(c.service) {
-			f.Loads.End(placement.Attempt{Target: choice.Target, Outcome: placement.OutcomeCancelled})
-			f.Meter.Count("medlarpond_retries_denied_total", "service", c.service)
-			f.Logger.Info("retry budget of the service is exhausted; the request is not retried further", zap.String("request", c.ID), zap.String("service", c.service))
+		if !ok {
 			break
 		}
 		response, outcome, err := f.tryTarget(ctx, c, choice)
@@ -80,6 +75,28 @@
 	return f.giveUp(c, failedResponse)
 }
 
+// nextTarget selects the target of the next attempt; sentCount is the number of targets that the request was sent to. If
+// there must be no further attempt, ok is false, and refused is the response to a request that has not run, if there is a
+// particular one.
+func (f *Forwarder) nextTarget(c *call, sentCount int) (choice placement.Choice, refused *refusal.Refusal, ok bool) {
+	if f.isCrashing(c) {
+		return placement.Choice{}, f.refuseCrashing(c), false
+	}
+	query := f.newQuery(c)
+	choice, rejected, ok := f.Placement.Choose(query)
+	if !ok {
+		f.logNoTarget(c, query, rejected)
+		return placement.Choice{}, refuseNoTarget(rejected), false
+	}
+	if sentCount > 0 && !f.RetryBudget.Withdraw(c.service) {
+		f.Loads.End(placement.Attempt{Target: choice.Target, Outcome: placement.OutcomeCancelled})
+		f.Meter.Count("medlarpond_retries_denied_total", "service", c.service)
+		f.Logger.Info("retry budget of the service is exhausted; the request is not retried further", zap.String("request", c.ID), zap.String("service", c.service))
+		return placement.Choice{}, nil, false
+	}
+	return choice, nil, true
+}
+
 func (f *Forwarder) newQuery(c *call) placement.Query {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.ID))
@@ -89,16 +106,13 @@
 	}
 }
 
-// refuseNoTarget returns the response to a request for which no target could be selected.
-func (f *Forwarder) refuseNoTarget(c *call, failedResponse *target.Response, rejected placement.Rejected) (*target.Response, *refusal.Refusal) {
-	if c.possibleRuns > 0 {
-		return f.giveUp(c, failedResponse)
-	}
+// refuseNoTarget returns the refusal of a request for which no target could be selected.
+func refuseNoTarget(rejected placement.Rejected) *refusal.Refusal {
 	reason, message := refusal.NoTarget, "no target may take the request now"
 	if rejected.Any() {
 		reason, message = refusal.Overloaded, "the targets have no room"
 	}
-	return nil, refusal.New(http.StatusServiceUnavailable, reason, message).WithRetryAfter(retryAfterOverload)
+	return refusal.New(http.StatusServiceUnavailable, reason, message).WithRetryAfter(retryAfterOverload)
 }
 
 // giveUp returns the response to a request that is not retried. A failure response of a target is passed on unchanged.
@@ -155,7 +169,7 @@
 		f.Meter.Count("medlarpond_oversized_responses_total", "part", oversized.Part)
 	}
 	f.logAttempt(c, choice, response, err, outcome, took)
-	f.checkForCrash(c, choice, err)
+	f.recordRun(c, choice, outcome, err, started)
 	if ejected {
 		f.Meter.Count("medlarpond_ejections_total", "service", c.service)
 		f.Logger.Warn("target ejected after failures", zap.String(logging.FieldTarget, choice.Target.ID),
--- a/core/services/forward/crash.go
+++ b/core/services/forward/crash.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
+	"medlarpond.dev/core/models/roster"
 	"medlarpond.dev/core/modules/logging"
+	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
@@ -18,24 +22,52 @@
 
 // fingerprint identifies repetitions of the same request, which have different request IDs.
 func (c *call) fingerprint() crash.Fingerprint {
-	return crash.NewFingerprint(
-		[]byte(c.Method), []byte(c.Host), []byte(c.URI), []byte(c.team.Name), c.Body[:min(len(c.Body), maxFingerprintBody)],
-		strconv.AppendInt(nil, c.Length, 10),
-	)
+	if !c.hasFingerprint {
+		c.cachedFingerprint = crash.NewFingerprint(
+			[]byte(c.Method), []byte(c.Host), []byte(c.URI), []byte(c.team.Name), c.Body[:min(len(c.Body), maxFingerprintBody)],
+			strconv.AppendInt(nil, c.Length, 10),
+		)
+		c.hasFingerprint = true
+	}
+	return c.cachedFingerprint
+}
+
+// isCrashing reports whether targets have died under the request, here or at other instances, so that it must not be sent
+// to another one.
+func (f *Forwarder) isCrashing(c *call) bool {
+	return f.Crashes.HasSuspects() && f.Crashes.IsBlocked(c.fingerprint())
+}
+
+// refuseCrashing returns the refusal of a request that must not be sent to another target.
+func (f *Forwarder) refuseCrashing(c *call) *refusal.Refusal {
+	f.Logger.Info("targets died under the request; not sending it to another one", zap.String("request", c.ID),
+		zap.Stringer("fingerprint", c.fingerprint()), zap.String(logging.FieldService, c.service))
+	return refusal.New(http.StatusServiceUnavailable, refusal.CrashSuspected,
+		"targets died while they had this request").WithRetryAfter(retryAfterCrash)
 }
 
-// checkForCrash checks in the background whether the target of an attempt that lost its connection has died.
-func (f *Forwarder) checkForCrash(c *call, choice placement.Choice, err error) {
-	if !target.IsConnectionLost(err) {
+// recordRun records what an attempt shows about the request: a response, that it does not crash targets, and a lost
+// connection, that it may have.
+func (f *Forwarder) recordRun(c *call, choice placement.Choice, outcome requestOutcome, err error, sentAt time.Time) {
+	switch {
+	case outcome == outcomeAnswered || outcome == outcomeFailed:
+		if f.Crashes.HasSuspects() {
+			f.Crashes.RecordCompleted(c.fingerprint())
+		}
+	case target.IsConnectionLost(err):
+		fingerprint, id, t := c.fingerprint(), c.ID, choice.Target
+		go f.recordCrash(id, fingerprint, t, sentAt)
+	}
+}
+
+// recordCrash records the death of a target that has lost the connection of an attempt, if it refuses a new one.
+func (f *Forwarder) recordCrash(id string, fingerprint crash.Fingerprint, t roster.Target, sentAt time.Time) {
+	if !f.Pool.RefusesConnections(context.Background(), t.Address) {
 		return
 	}
-	fingerprint, id, t := c.fingerprint(), c.ID, choice.Target
-	go func() {
-		if !f.Pool.RefusesConnections(context.Background(), t.Address) {
-			return
-		}
-		f.Meter.Count("medlarpond_target_crashes_total", "service", t.Service)
-		f.Logger.Info("target died while it had the request", zap.String("request", id), zap.Stringer("fingerprint", fingerprint),
-			zap.String(logging.FieldService, t.Service), zap.String(logging.FieldTarget, t.ID), zap.Int64("target-started", t.Started))
-	}()
+	deaths := f.Crashes.RecordDeath(fingerprint, t.ID, t.Started, sentAt)
+	f.Meter.Count("medlarpond_target_crashes_total", "service", t.Service)
+	f.Logger.Info("target died while it had the request", zap.String("request", id), zap.Stringer("fingerprint", fingerprint),
+		zap.Int("deaths", deaths), zap.String(logging.FieldService, t.Service), zap.String(logging.FieldTarget, t.ID),
+		zap.Int64("target-started", t.Started))
 }
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -17,6 +17,7 @@
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
+	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
 )
@@ -66,6 +67,7 @@
 	retryAfterOverload = 400 * time.Millisecond
 	minRetryAfter      = 100 * time.Millisecond
 	maxRetryAfter      = 2 * time.Second
+	retryAfterCrash    = 30 * time.Second
 )
 
 // Config holds the dependencies and settings of a Forwarder.
@@ -75,6 +77,7 @@
 	Loads       *placement.LoadTracker
 	RateLimiter *allowance.RateLimiter
 	RetryBudget *allowance.RetryBudget
+	Crashes     *crash.Tally
 	Pool        *target.Pool
 	Headers     Headers
 	Policy      Policy
@@ -150,6 +153,9 @@
 	possibleRuns int
 	// bodyTooLarge is true if the body turned out to be over the limit while it was sent to a target.
 	bodyTooLarge bool
+	// cachedFingerprint is set if hasFingerprint is true.
+	cachedFingerprint crash.Fingerprint
+	hasFingerprint    bool
 	// rateCharged is true if the request was counted against the team's rate limit.
 	rateCharged bool
 }
--- a/core/services/target/refuse_test.go
+++ b/core/services/target/refuse_test.go
@@ -15,7 +15,7 @@
 	accepted := make(chan int, 9)
 	address := startServer(t, func(c net.Conn, number int) {
 		accepted <- number
-		serveEach(c, func(id string, n int) bool {
+		serveEach(c, func(id string, _ int) bool {
 			if id == "lost" {
 				return false
 			}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -46,7 +46,8 @@
 	LeaseTTL time.Duration `yaml:"lease-ttl"`
 	// TargetWait is how long a watch for changes of targets and instances waits.
 	TargetWait time.Duration `yaml:"target-wait"`
-	// InstanceBatchDelay is the pause after a change of instances during which further changes are collected into one batch.
+	// InstanceBatchDelay is the pause after a change of what instances write, during which further changes are collected into
+	// one batch. At most half of ContactWithin, as instances learn through these changes which requests crash targets.
 	InstanceBatchDelay time.Duration `yaml:"instance-batch"`
 	// SettleTime is how long after a store outage the targets and instances that the store lacks are still regarded as
 	// existing.
@@ -151,7 +152,7 @@
 func defaultEdge() Edge {
 	return Edge{
 		Store: EdgeStore{
-			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second, InstanceBatchDelay: 2 * time.Second,
+			CallTimeout: time.Second, LeaseTTL: 3 * time.Second, TargetWait: 10 * time.Second, InstanceBatchDelay: 800 * time.Millisecond,
 			SettleTime: 2100 * time.Millisecond,
 		},
 		Memory: EdgeMemory{LimitMB: 256, LimitFraction: 0.7, CollectorPercent: 60},
@@ -214,6 +215,8 @@
 	} {
 		c.require(d.value > 0, d.setting, "must be a positive duration such as 1.5s")
 	}
+	c.require(e.Store.InstanceBatchDelay >= 0 && e.Store.InstanceBatchDelay <= e.Bounds.ContactWithin/2, "store.instance-batch",
+		"must be at most half of bounds.contact-within")
 	c.require(e.Stop.Margin >= 0 && e.Stop.Margin < e.Stop.Grace, "stop.margin", "must be less than stop.grace")
 }
 
