placement, forward: keep requests from a target for the time that it names

Callers' view: a target that turned requests away with 503 and Retry-After went on getting each request for its objects; the callers waited for a refusal and a second attempt, and each counted against the retry budget.

Cause: Retry-After of a target's refusal was not read.

Ruled out: ejection. Refusals without a load report eject a target for a second after five, with a load report never.

Change: a 503 with Retry-After pauses the target for this instance and this incarnation, at most five minutes; the longest of several holds. Malformed values say nothing. A pause is no failure of the target. If every target that could have room is paused, the refusal says when the first takes requests again instead of 400 ms. A response to an attempt at an earlier incarnation no longer resets what is known of the present one.

--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -40,6 +40,7 @@
 	target string
 	*http.Request
 	body string
+	at   time.Time
 }
 
 // testInstance is one instance with several targets.
@@ -90,7 +91,7 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			s.mu.Lock()
-			s.received = append(s.received, received{target: id, Request: r, body: string(body)})
+			s.received = append(s.received, received{target: id, Request: r, body: string(body), at: time.Now()})
 			count := len(s.received)
 			s.mu.Unlock()
 			w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -112,7 +112,11 @@
 	if rejected.Any() {
 		reason, message = refusal.Overloaded, "the targets have no room"
 	}
-	return refusal.New(http.StatusServiceUnavailable, reason, message).WithRetryAfter(retryAfterOverload)
+	retryAfter := retryAfterOverload
+	if rejected.OnlyPaused() {
+		retryAfter = min(max(rejected.AvailableIn, minRetryAfter), maxRetryAfterPause)
+	}
+	return refusal.New(http.StatusServiceUnavailable, reason, message).WithRetryAfter(retryAfter)
 }
 
 // giveUp returns the response to a request that is not retried. A failure response of a target is passed on unchanged.
@@ -154,14 +158,14 @@
 		Deadline: c.deadline.Add(responseMargin), MaxIdle: idle, NonIdempotent: !c.route.Idempotent,
 	})
 	outcome, targetOutcome := f.classify(ctx, c, response, err)
-	report := placement.Report{}
+	report, hints := placement.Report{}, placement.Hints{}
 	if response != nil {
-		report = parseLoad(response.Header.Get(f.Headers.Load))
+		report, hints = parseLoad(response.Header.Get(f.Headers.Load)), parseHints(response)
 	}
 	took := time.Since(started)
 	ejected := f.Loads.End(placement.Attempt{
 		Target: choice.Target, Service: c.service, Object: c.object, LatencyGoal: c.route.LatencyGoal, Duration: took,
-		Load: choice.Load, Warm: choice.Warm, Outcome: targetOutcome, Report: report,
+		Load: choice.Load, Warm: choice.Warm, Outcome: targetOutcome, Report: report, Hints: hints,
 	})
 	f.Meter.Count("medlarpond_attempts_total", "outcome", outcome.String())
 	var oversized *target.ErrOversizedResponse
@@ -264,6 +268,7 @@
 func (f *Forwarder) logNoTarget(c *call, q placement.Query, rejected placement.Rejected) {
 	f.Logger.Info("no target can take the request", zap.String("request", c.ID), zap.String(logging.FieldService, c.service),
 		zap.Int("full", rejected.Full), zap.Int("late", rejected.Late), zap.Int("spill", rejected.Spill),
+		zap.Int("paused", rejected.Paused), zap.Duration("available-in", rejected.AvailableIn),
 		zap.Float64("queue-per-slot", q.MaxQueuePerSlot), zap.Duration("time-left", q.TimeLeft))
 }
 
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -68,6 +68,7 @@
 	minRetryAfter      = 100 * time.Millisecond
 	maxRetryAfter      = 2 * time.Second
 	retryAfterCrash    = 30 * time.Second
+	maxRetryAfterPause = 30 * time.Second
 )
 
 // Config holds the dependencies and settings of a Forwarder.
--- /dev/null
+++ b/core/services/placement/hints.go
@@ -0,0 +1,32 @@
+package placement
+
+import "time"
+
+// Hints is what a target says in a response about the requests that it wants.
+type Hints struct {
+	// Pause is how long the target wants no request from this instance; zero if it did not say.
+	Pause time.Duration
+}
+
+// maxPause bounds the pause that a target is granted.
+const maxPause = 5 * time.Minute
+
+// hintState is what one incarnation of a target has said in its responses. The zero value is that of a target that has said
+// nothing.
+type hintState struct {
+	// pausedUntil is the end of the latest pause.
+	pausedUntil time.Time
+}
+
+// apply updates the state with the hints of a response.
+func (s *hintState) apply(h Hints, now time.Time) {
+	if until := now.Add(min(h.Pause, maxPause)); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// availableIn returns how long the target wants no requests from this instance; zero or negative if it takes them.
+func (s *hintState) availableIn(now time.Time) time.Duration { return s.pausedUntil.Sub(now) }
+
+// isEmpty reports whether the state holds nothing that still applies.
+func (s *hintState) isEmpty(now time.Time) bool { return s.availableIn(now) <= 0 }
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -123,7 +123,9 @@
 	// slowness is the ratio of actual to expected response time, at least 1, as of slownessAt.
 	slowness   float64
 	slownessAt time.Time
-	usedAt     time.Time
+	// hints is what the target has said about the requests that it wants.
+	hints  hintState
+	usedAt time.Time
 }
 
 // processingTimeKey identifies requests with similar processing times.
@@ -163,13 +165,15 @@
 	load    float64
 	warm    bool
 	ejected bool
+	// availableIn is how long the target wants no requests; zero or negative if it takes them.
+	availableIn time.Duration
 	// wait is the estimated time until a slot is free, expected the estimated response time.
 	wait, expected time.Duration
 }
 
 func (l *LoadTracker) stateOf(t roster.Target) *targetState {
 	state, ok := l.targets[t.ID]
-	if !ok || state.started != t.Started {
+	if !ok || state.started < t.Started {
 		if !ok && len(l.targets) > 0 && len(l.targets)%256 == 0 {
 			l.evictIdle()
 		}
@@ -188,7 +192,7 @@
 
 func (l *LoadTracker) evictIdle() {
 	for id, t := range l.targets {
-		if t.inFlight == 0 && time.Since(t.usedAt) > idleTargetTTL {
+		if t.inFlight == 0 && time.Since(t.usedAt) > idleTargetTTL && t.hints.isEmpty(time.Now()) {
 			delete(l.targets, id)
 		}
 	}
@@ -215,7 +219,7 @@
 	times := l.processingTimeOf(service, goal)
 	// After an ejection, one attempt at a time probes whether the target has recovered.
 	probing := state.ejections > 0 && state.inFlight > 0
-	e := estimate{load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil)}
+	e := estimate{load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), availableIn: state.hints.availableIn(now)}
 	if _, e.warm = state.warmObjects[object]; firstChoice && object != "" {
 		e.warm = true
 	}
@@ -272,6 +276,7 @@
 	Warm    bool
 	Outcome Outcome
 	Report  Report
+	Hints   Hints
 }
 
 // End records a finished attempt and updates the target's load and health. It reports whether the attempt caused the
@@ -282,6 +287,11 @@
 	state := l.stateOf(a.Target)
 	state.inFlight = max(0, state.inFlight-1)
 	now := time.Now()
+	if a.Target.Started < state.started {
+		// The target has restarted since; what the earlier incarnation said and did tells nothing about this one.
+		return false
+	}
+	state.hints.apply(a.Hints, now)
 	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad}
 	if a.Report.isPlausible() {
 		state.externalLoad = max(0, float64(a.Report.Running+a.Report.Waiting-state.inFlight)-l.neighborLoad(a.Target.ID, now))
@@ -298,6 +308,9 @@
 	case OutcomeFailed:
 		result.Failure = failureWeight
 	case OutcomeRefused:
+		if a.Hints.Pause > 0 {
+			break
+		}
 		if a.Report.Known {
 			state.addSoftFailure(queueFullWeight, now)
 		} else {
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -77,10 +77,24 @@
 	// Full is the number of candidates without a free slot or room in the queue, Late the number whose queue is too long
 	// for the deadline of the request, and Spill the number in another region, which may not take more requests now.
 	Full, Late, Spill int
+	// Paused is the number of targets that want no requests now, AvailableIn the shortest time until one of them does.
+	Paused      int
+	AvailableIn time.Duration
 }
 
 // Any reports whether a candidate was rejected for lack of capacity.
-func (r Rejected) Any() bool { return r.Full+r.Late+r.Spill > 0 }
+func (r Rejected) Any() bool { return r.Full+r.Late+r.Spill+r.Paused > 0 }
+
+// OnlyPaused reports whether the request has no target because all that could have room want no requests now.
+func (r Rejected) OnlyPaused() bool { return r.Paused > 0 && r.Full+r.Late+r.Spill == 0 }
+
+// addPaused counts a target that takes requests again after the given time.
+func (r *Rejected) addPaused(availableIn time.Duration) {
+	if r.Paused == 0 || availableIn < r.AvailableIn {
+		r.AvailableIn = availableIn
+	}
+	r.Paused++
+}
 
 // Placement selects targets for the requests of one instance. It is safe for concurrent use.
 type Placement struct {
@@ -135,7 +149,7 @@
 	now := time.Now()
 	view := p.state.View()
 	best := math.Inf(1)
-	candidates := p.candidates(view, q, now)
+	candidates := p.candidates(view, q, now, &rejected)
 	for _, candidate := range candidates {
 		t, e := candidate.target, candidate.estimate
 		if t.Place.Region != candidates[0].target.Place.Region && !p.spillLimiter.allows(now, p.policy.RegionSpill) {
@@ -190,8 +204,9 @@
 }
 
 // candidates returns the usable targets in the ranking order of the object. Each region contributes at most half of
-// them, so that requests can overflow into another region when the object's region is at peak load.
-func (p *Placement) candidates(view *belief.View, q Query, now time.Time) []rankedTarget {
+// them, so that requests can overflow into another region when the object's region is at peak load. Targets that want no
+// requests now are counted in rejected.
+func (p *Placement) candidates(view *belief.View, q Query, now time.Time, rejected *Rejected) []rankedTarget {
 	object := hashString(q.Object)
 	if q.Object == "" {
 		object = mix(q.Spread)
@@ -219,6 +234,10 @@
 				continue
 			}
 			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
+			if estimated.availableIn > 0 {
+				rejected.addPaused(estimated.availableIn)
+				continue
+			}
 			if estimated.ejected {
 				continue
 			}
