placement, forward: stop using a target that says that it leaves

Cause, as for pauses: what a target says in its responses is not read.

Change: the header Server-Leaving: 1 marks the incarnation; it gets no further request of this instance, and neighbors learn of it with the next load update. Nothing takes the mark back but a new incarnation, as responses that were made earlier may arrive later. Hints and load reports of a response with status 421 are ignored, as another target at the address has sent it.

--- a/core/routers/front/hints_test.go
+++ b/core/routers/front/hints_test.go
@@ -92,3 +92,65 @@
 		})
 	}
 }
+
+// TestLeavingTargetGetsNoRequests lets one of two targets say in a response that it leaves, as the store may report it late or
+// never. A target must get no request that a caller sends after the instance has passed such a response on.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		values  []string
+		leaving bool
+	}{
+		"leaving":             {[]string{"1"}, true},
+		"leaving, said twice": {[]string{"0", "1"}, true},
+		"not leaving":         {[]string{"0"}, false},
+		"empty":               {[]string{""}, false},
+		"malformed":           {[]string{"perhaps"}, false},
+		"negative":            {[]string{"-1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newInstance(t, 2, func(w http.ResponseWriter, r *http.Request, n int) {
+				if n == 1 {
+					w.Header()[headers.Leaving] = c.values
+				}
+				respondSealed(w, r, n)
+			})
+			s.keepConfirmed(t)
+			for n := range 60 {
+				response, body := s.send(t, http.MethodGet, fmt.Sprintf("/read/%d", n), "", headers.RequestID, fmt.Sprint("r-", n), "Cookie", fmt.Sprintf("object=%d", n))
+				if response == nil || response.StatusCode != http.StatusOK {
+					t.Fatalf("got %v (%s), want 200", response, body)
+				}
+			}
+			first := s.receivedRequests()[0]
+			if n := s.countReceived(first.target, first.at); (n > 0) == c.leaving {
+				t.Errorf("the target got %d requests after its response with %q, want none: %v", n, c.values, c.leaving)
+			}
+		})
+	}
+}
+
+// TestHintsOfAnotherTargetAreIgnored lets another target, at the address of the only one, refuse a misdirected request and say
+// that it leaves and wants no requests.
+func TestHintsOfAnotherTargetAreIgnored(t *testing.T) {
+	s := newInstance(t, 1, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			w.Header().Set(headers.Leaving, "1")
+			w.Header().Set("Retry-After", "60")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		respondSealed(w, r, n)
+	})
+	s.keepConfirmed(t)
+	status := 0
+	for n, end := 0, time.Now().Add(3*time.Second); status != http.StatusOK && time.Now().Before(end); n++ {
+		if response, _ := s.send(t, http.MethodGet, "/read/x", "", headers.RequestID, fmt.Sprint("r-", n)); response != nil {
+			status = response.StatusCode
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if status != http.StatusOK {
+		t.Errorf("got status %d 3 s after a misdirected request, want 200", status)
+	}
+}
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -159,8 +159,9 @@
 	})
 	outcome, targetOutcome := f.classify(ctx, c, response, err)
 	report, hints := placement.Report{}, placement.Hints{}
-	if response != nil {
-		report, hints = parseLoad(response.Header.Get(f.Headers.Load)), parseHints(response)
+	if response != nil && targetOutcome != placement.OutcomeMisdirected {
+		// A misdirected request was answered by another target, which says nothing about this one.
+		report, hints = parseLoad(response.Header.Get(f.Headers.Load)), f.parseHints(response)
 	}
 	took := time.Since(started)
 	ejected := f.Loads.End(placement.Attempt{
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -38,6 +38,8 @@
 	NotRun string
 	// Load carries the target's numbers of running requests, waiting requests and slots, separated by commas.
 	Load string
+	// Leaving is 1 in the responses of a target that leaves.
+	Leaving string
 	// ObjectCookie is the name of the cookie that holds the object of the request.
 	ObjectCookie string
 }
--- a/core/services/forward/hints.go
+++ b/core/services/forward/hints.go
@@ -13,12 +13,17 @@
 
 const (
 	retryAfterHeader = "Retry-After"
+	// leavingValue is the value of the header of a target that leaves.
+	leavingValue = "1"
 	// maxHintSeconds bounds the durations in the headers of targets, so that they fit into a Duration.
 	maxHintSeconds = 1e6
 )
 
 // parseHints returns what a target says in a response about the requests that it wants. Values that are malformed say nothing.
-func parseHints(response *target.Response) (h placement.Hints) {
+func (f *Forwarder) parseHints(response *target.Response) (h placement.Hints) {
+	for _, value := range response.Header[http.CanonicalHeaderKey(f.Headers.Leaving)] {
+		h.Leaving = h.Leaving || strings.TrimSpace(value) == leavingValue
+	}
 	if response.Status == http.StatusServiceUnavailable {
 		for _, value := range response.Header[retryAfterHeader] {
 			if seconds, ok := parseDecimal(value); ok {
--- a/core/services/placement/hints_test.go
+++ b/core/services/placement/hints_test.go
@@ -61,3 +61,40 @@
 		}
 	})
 }
+
+// TestLeavingTargetStaysUnused checks that a response without the hint, late or from an idle time, does not bring a leaving
+// target back, that neighbors learn of it, and that a new incarnation is used.
+func TestLeavingTargetStaysUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.addTargets(1, east1)
+		p, l := f.newPlacement("a", east1)
+		neighbor, neighborLoads := f.newPlacement("b", east1)
+		target := f.targets["east-1-0"]
+		answer(l, target, placement.OutcomeAnswered, placement.Hints{Leaving: true})
+		answer(l, target, placement.OutcomeAnswered, placement.Hints{})
+		sendUpdate(l, neighborLoads, "a")
+		for range 5 {
+			if isUsed(p, l) || isUsed(neighbor, neighborLoads) {
+				t.Fatal("a target that has said that it leaves is used")
+			}
+			time.Sleep(time.Minute)
+		}
+		f.updateTargets(target)
+		if isUsed(p, l) {
+			t.Error("a leaving target is used after its description in the store has changed")
+		}
+		target.Started++
+		f.updateTargets(target)
+		if !isUsed(p, l) || !isUsed(neighbor, neighborLoads) {
+			t.Error("a restarted target is not used")
+		}
+		earlier := target
+		earlier.Started--
+		answer(l, earlier, placement.OutcomeAnswered, placement.Hints{Leaving: true})
+		sendUpdate(l, neighborLoads, "a")
+		if !isUsed(p, l) || !isUsed(neighbor, neighborLoads) {
+			t.Error("a target is not used because of a late response of its earlier incarnation")
+		}
+	})
+}
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -165,6 +165,8 @@
 	load    float64
 	warm    bool
 	ejected bool
+	// leaving is true if the target has said that it leaves.
+	leaving bool
 	// availableIn is how long the target wants no requests; zero or negative if it takes them.
 	availableIn time.Duration
 	// wait is the estimated time until a slot is free, expected the estimated response time.
@@ -192,7 +194,8 @@
 
 func (l *LoadTracker) evictIdle() {
 	for id, t := range l.targets {
-		if t.inFlight == 0 && time.Since(t.usedAt) > idleTargetTTL && t.hints.isEmpty(time.Now()) {
+		idle := time.Since(t.usedAt)
+		if t.inFlight == 0 && idle > idleTargetTTL && (t.hints.isEmpty(time.Now()) || idle > hintTTL) {
 			delete(l.targets, id)
 		}
 	}
@@ -219,7 +222,7 @@
 	times := l.processingTimeOf(service, goal)
 	// After an ejection, one attempt at a time probes whether the target has recovered.
 	probing := state.ejections > 0 && state.inFlight > 0
-	e := estimate{load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), availableIn: state.hints.availableIn(now)}
+	e := estimate{load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), leaving: state.hints.leaving, availableIn: state.hints.availableIn(now)}
 	if _, e.warm = state.warmObjects[object]; firstChoice && object != "" {
 		e.warm = true
 	}
@@ -292,7 +295,7 @@
 		return false
 	}
 	state.hints.apply(a.Hints, now)
-	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad}
+	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad, Leaving: a.Hints.Leaving}
 	if a.Report.isPlausible() {
 		state.externalLoad = max(0, float64(a.Report.Running+a.Report.Waiting-state.inFlight)-l.neighborLoad(a.Target.ID, now))
 		state.externalLoadAt = now
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -47,6 +47,8 @@
 	// Answered is true for a complete response. Failure is the failure score to add, zero for none.
 	Answered bool
 	Failure  float64
+	// Leaving is true if the target has said that it leaves.
+	Leaving bool
 }
 
 // neighborState is the latest update of a neighbor.
@@ -151,6 +153,7 @@
 		state := l.stateOf(roster.Target{ID: result.Target, Started: result.Started})
 		state.usedAt = now
 		state.markWarm(result.Object, now)
+		state.hints.apply(Hints{Leaving: result.Leaving}, now)
 		if result.Outside >= 0 && result.Outside <= maxReportedLoad {
 			state.externalLoad, state.externalLoadAt = result.Outside, now
 			state.domainLoad.update(result.Outside, now)
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -234,11 +234,7 @@
 				continue
 			}
 			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
-			if estimated.availableIn > 0 {
-				rejected.addPaused(estimated.availableIn)
-				continue
-			}
-			if estimated.ejected {
+			if !estimated.isUsable(rejected) {
 				continue
 			}
 			inRegion++
@@ -248,6 +244,15 @@
 	return ranked
 }
 
+// isUsable reports whether requests may be sent to a target at all. A target that wants none for some time is counted in
+// rejected.
+func (e estimate) isUsable(rejected *Rejected) bool {
+	if e.availableIn > 0 && !e.leaving {
+		rejected.addPaused(e.availableIn)
+	}
+	return !e.leaving && !e.ejected && e.availableIn <= 0
+}
+
 // isEvacuatedFor reports whether an object must not use a failure domain at the boot time now because the domain is being
 // evacuated or is being restored and the object has not moved back yet. Each object moves at its own time within
 // EvacuationRamp, so that other targets, and the possibly cold targets of a restored domain, do not receive all objects
