forward: log what targets say about the requests that they want

The name of each response header that an instance sees for the first time is logged once, with its value, for at most 64 names: targets began to say something new, and nothing showed it.

--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -30,7 +30,7 @@
 
 var headers = forward.Headers{
 	RequestID: "Test-Id", TimeLeft: "Test-Left", ExpectedTarget: "Test-Expected", Team: "Test-Team", Seal: "Test-Seal",
-	NotRun: "Test-Not-Run", Load: "Test-Load", Leaving: "Test-Leaving", ObjectCookie: "object",
+	NotRun: "Test-Not-Run", Load: "Test-Load", Leaving: "Test-Leaving", Limit: "Test-Limit", ObjectCookie: "object",
 }
 
 var localPlace = roster.Place{Region: "east", FailureDomain: "east-1"}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -40,6 +40,8 @@
 	Load string
 	// Leaving is 1 in the responses of a target that leaves.
 	Leaving string
+	// Limit is the number of requests per second that the target takes from all instances together.
+	Limit string
 	// ObjectCookie is the name of the cookie that holds the object of the request.
 	ObjectCookie string
 }
@@ -92,6 +94,8 @@
 type Forwarder struct {
 	Config
 	splitter *weightedSplitter
+	// responseHeaders holds the names of headers that targets have sent.
+	responseHeaders headerNames
 	// shutdown is nil until the instance starts to stop.
 	shutdown atomic.Pointer[shutdown]
 }
