placement, forward, edge: keep targets within the limit that they name

Cause: the limit in responses was not read (hypothesis 1). The class: what a target says of itself in a response is not known to placement, and a bound on all instances together needs a division that they agree on without talking.

An instance without the store for contact-within is no owner any more, as the others divide the limit without it. Neighbors pass the limit on with their load updates. A limit holds for the incarnation; only a sealed response without the header withdraws it; malformed values say nothing.

Weighed: an equal share for each instance is less than one request in 4 s for 79 instances, so either nobody sends or the saved tokens of all exceed the bound; one owner for all instances leaves most of a limit of 7 or more unused.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -269,7 +269,7 @@
 func (f *Forwarder) logNoTarget(c *call, q placement.Query, rejected placement.Rejected) {
 	f.Logger.Info("no target can take the request", zap.String("request", c.ID), zap.String(logging.FieldService, c.service),
 		zap.Int("full", rejected.Full), zap.Int("late", rejected.Late), zap.Int("spill", rejected.Spill),
-		zap.Int("paused", rejected.Paused), zap.Duration("available-in", rejected.AvailableIn),
+		zap.Int("limited", rejected.Limited), zap.Int("paused", rejected.Paused), zap.Duration("available-in", rejected.AvailableIn),
 		zap.Float64("queue-per-slot", q.MaxQueuePerSlot), zap.Duration("time-left", q.TimeLeft))
 }
 
--- a/core/services/forward/hints.go
+++ b/core/services/forward/hints.go
@@ -24,6 +24,7 @@
 	for _, value := range response.Header[http.CanonicalHeaderKey(f.Headers.Leaving)] {
 		h.Leaving = h.Leaving || strings.TrimSpace(value) == leavingValue
 	}
+	h.Limit, h.LimitRate = f.parseLimit(response)
 	if response.Status == http.StatusServiceUnavailable {
 		for _, value := range response.Header[retryAfterHeader] {
 			if seconds, ok := parseDecimal(value); ok {
@@ -34,6 +35,21 @@
 	return h
 }
 
+// parseLimit returns the limit that a response names, the lowest of several. Only a response that the target has sealed shows
+// that there is none: a refusal may not carry the header.
+func (f *Forwarder) parseLimit(response *target.Response) (hint placement.LimitHint, rate float64) {
+	values, present := response.Header[http.CanonicalHeaderKey(f.Headers.Limit)]
+	if !present && response.Header.Get(f.Headers.Seal) != "" {
+		return placement.LimitNone, 0
+	}
+	for _, value := range values {
+		if n, ok := parseDecimal(value); ok && (hint == placement.LimitUnknown || n < rate) {
+			hint, rate = placement.LimitNamed, n
+		}
+	}
+	return hint, rate
+}
+
 // parseDecimal parses a decimal number that is not negative, such as 2 or 0.75.
 func parseDecimal(value string) (float64, bool) {
 	value = strings.TrimSpace(value)
--- a/core/services/placement/cold.go
+++ b/core/services/placement/cold.go
@@ -20,12 +20,17 @@
 	buckets map[string]tokenBucket
 }
 
-// tokenBucket holds up to coldBurst tokens.
 type tokenBucket struct {
 	tokens     float64
 	refilledAt time.Time
 }
 
+// refill adds the tokens since the last refill at a rate per second, up to burst.
+func (b *tokenBucket) refill(rate, burst float64, now time.Time) {
+	b.tokens = min(burst, b.tokens+rate*now.Sub(b.refilledAt).Seconds())
+	b.refilledAt = now
+}
+
 // allows reports whether this instance may send one more request to the target.
 func (c *coldLimiter) allows(view *belief.View, t roster.Target, now time.Time) bool {
 	if !now.Before(t.ColdUntil) {
@@ -43,8 +48,7 @@
 	if !ok {
 		bucket = tokenBucket{tokens: coldBurst, refilledAt: now}
 	}
-	bucket.tokens = min(coldBurst, bucket.tokens+rate*now.Sub(bucket.refilledAt).Seconds())
-	bucket.refilledAt = now
+	bucket.refill(rate, coldBurst, now)
 	c.buckets[t.ID] = bucket
 	return bucket.tokens >= 1
 }
@@ -58,11 +62,7 @@
 }
 
 func (c *coldLimiter) ownerOf(view *belief.View, target string) string {
-	ids := make([]string, 0, len(view.Instances))
-	for _, i := range view.Instances {
-		ids = append(ids, i.ID)
-	}
-	owners := rendezvous.Owners([]byte(target), ids, 1)
+	owners := rendezvous.Owners([]byte(target), instanceIDs(view.Instances), 1)
 	if len(owners) == 0 {
 		return ""
 	}
--- /dev/null
+++ b/core/services/placement/limit_test.go
@@ -0,0 +1,256 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/services/placement"
+)
+
+const (
+	// limitWindow is the window in which requests at a target that names a limit are counted.
+	limitWindow = 4 * time.Second
+	// limitContact is the time after the target has first named its limit from which requests count.
+	limitContact = 3 * time.Second
+	// limitNotice is the time after an instance has received a response with the limit from which its requests count.
+	limitNotice = 500 * time.Millisecond
+)
+
+// limitFleet is a fleet of instances with a state of their own that send requests to one target that names a limit.
+type limitFleet struct {
+	fixtures   []*fixture
+	placements []*placement.Placement
+	loads      []*placement.LoadTracker
+	// listed holds the instances that are registered.
+	listed map[int]bool
+	hints  placement.Hints
+	// namedAt is when the target has first named its limit, toldAt when each instance has received it.
+	namedAt time.Time
+	toldAt  map[int]time.Time
+	// counted holds the times of the requests that count.
+	counted []time.Time
+	most    int
+	sent    int
+}
+
+func limitInstance(n int) roster.Instance {
+	return roster.Instance{ID: fmt.Sprint("i-", n), Place: sites[n%len(sites)]}
+}
+
+func newLimitFleet(instances int) *limitFleet {
+	f := &limitFleet{toldAt: map[int]time.Time{}, listed: map[int]bool{}}
+	for n := range instances {
+		f.listed[n] = true
+		f.fixtures, f.placements, f.loads = append(f.fixtures, nil), append(f.placements, nil), append(f.loads, nil)
+		f.start(n)
+	}
+	for n := range instances {
+		f.publish(n)
+	}
+	return f
+}
+
+// start starts an instance as a new process.
+func (f *limitFleet) start(n int) {
+	fixture := newFixture()
+	fixture.updateTargets(roster.Target{ID: "t", Service: "orders", Place: east1, Slots: 1000})
+	f.fixtures[n] = fixture
+	f.placements[n], f.loads[n] = fixture.newPlacement(limitInstance(n).ID, limitInstance(n).Place)
+	f.publish(n)
+	delete(f.toldAt, n)
+}
+
+// publish gives an instance the list of the registered ones.
+func (f *limitFleet) publish(n int) {
+	var list []roster.Instance
+	for i := range f.fixtures {
+		if f.listed[i] {
+			list = append(list, limitInstance(i))
+		}
+	}
+	f.fixtures[n].state.SetInstances(list)
+}
+
+// run lets each instance try to send a request every 20 ms, in which the target also responds. connected reports whether an
+// instance has contact with the store.
+func (f *limitFleet) run(duration time.Duration, connected func(n int) bool) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for n, p := range f.placements {
+			if connected(n) {
+				f.fixtures[n].confirm()
+			}
+			if c, _, ok := p.Choose(query(fmt.Sprint(n))); ok {
+				f.receive(n, c.Target)
+			}
+		}
+	}
+}
+
+// receive counts a request of an instance at the target, which responds.
+func (f *limitFleet) receive(n int, target roster.Target) {
+	now := time.Now()
+	f.sent++
+	if f.namedAt.IsZero() && f.hints.Limit == placement.LimitNamed {
+		f.namedAt = now
+	}
+	if told, ok := f.toldAt[n]; ok && now.Sub(told) >= limitNotice && now.Sub(f.namedAt) >= limitContact {
+		f.counted = append(f.counted, now)
+		for now.Sub(f.counted[0]) > limitWindow {
+			f.counted = f.counted[1:]
+		}
+		f.most = max(f.most, len(f.counted))
+	}
+	f.loads[n].End(placement.Attempt{
+		Target: target, Service: "orders", LatencyGoal: goal, Duration: time.Millisecond, Outcome: placement.OutcomeAnswered, Hints: f.hints,
+	})
+	if _, ok := f.toldAt[n]; !ok && f.hints.Limit == placement.LimitNamed {
+		f.toldAt[n] = now
+	}
+}
+
+func always(int) bool { return true }
+
+// allowedWithLimit is the number of requests that are allowed in limitWindow.
+func allowedWithLimit(limit float64) int { return int(math.Floor(1.5*limit*limitWindow.Seconds() + 5)) }
+
+// TestLimitHoldsInFleets checks fleets of several sizes and limits from none at all to more than is sent.
+func TestLimitHoldsInFleets(t *testing.T) {
+	for _, instances := range []int{1, 3, 7, 79} {
+		for _, limit := range []float64{0, 0.2, 1, 1.9, 7, 60, 1e12} {
+			t.Run(fmt.Sprintf("%d instances, limit %v", instances, limit), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newLimitFleet(instances)
+					f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
+					const duration = 30 * time.Second
+					f.run(duration, always)
+					if f.most > allowedWithLimit(limit) {
+						t.Errorf("got %d requests in %v, want at most %d", f.most, limitWindow, allowedWithLimit(limit))
+					}
+					// Each instance sends at most 50 requests a second. Half of the limit must be used as far as it allows that.
+					if least := min(0.5*limit, 0.5*50*float64(instances)) * duration.Seconds(); float64(f.sent) < least {
+						t.Errorf("got %d requests in %v, want at least %.0f", f.sent, duration, least)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestLimitHoldsWhileInstancesDisagree restarts instances, keeps the list of instances from some for a while, and takes the
+// store from others, which are then no longer registered.
+func TestLimitHoldsWhileInstancesDisagree(t *testing.T) {
+	const limit, instances = 1.9, 7
+	for name, disturb := range map[string]func(f *limitFleet){
+		"restarts": func(f *limitFleet) {
+			for n := range instances {
+				f.start(n)
+				f.run(time.Second, always)
+			}
+		},
+		"instances leave, and others learn of it late": func(f *limitFleet) {
+			for n := range 4 {
+				delete(f.listed, n)
+				for learns := range instances {
+					f.run(150*time.Millisecond, always)
+					f.publish((learns + n) % instances)
+				}
+			}
+		},
+		"half of the instances lose the store": func(f *limitFleet) {
+			lost := func(n int) bool { return n%2 == 1 }
+			f.run(limitContact, lost)
+			for n := range instances {
+				if f.listed[n] = lost(n); lost(n) {
+					defer f.publish(n)
+				}
+			}
+			for n := range instances {
+				if lost(n) {
+					f.publish(n)
+				}
+			}
+			f.run(10*time.Second, lost)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitFleet(instances)
+				f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
+				f.run(5*time.Second, always)
+				disturb(f)
+				f.run(5*time.Second, always)
+				if f.most > allowedWithLimit(limit) {
+					t.Errorf("got %d requests in %v, want at most %d", f.most, limitWindow, allowedWithLimit(limit))
+				}
+			})
+		})
+	}
+}
+
+// TestWithdrawnLimit checks that all instances use a target again after it has withdrawn its limit, and that a response that
+// does not tell withdraws nothing.
+func TestWithdrawnLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 7
+		f := newLimitFleet(instances)
+		f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: 2}
+		f.run(5*time.Second, always)
+		f.hints = placement.Hints{}
+		f.run(10*time.Second, always)
+		if f.most > allowedWithLimit(2) {
+			t.Errorf("got %d requests in %v after responses that do not tell, want at most %d", f.most, limitWindow, allowedWithLimit(2))
+		}
+		f.hints = placement.Hints{Limit: placement.LimitNone}
+		f.run(time.Minute, always)
+		before := f.sent
+		f.run(time.Second, always)
+		if n := f.sent - before; n < instances*40 {
+			t.Errorf("got %d requests a second a minute after the limit was withdrawn, want at least %d", n, instances*40)
+		}
+	})
+}
+
+// TestLimitOfEarlierIncarnation checks that a restarted target has no limit until it names one.
+func TestLimitOfEarlierIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.addTargets(1, east1)
+		p, l := f.newPlacement("a", east1)
+		f.state.SetInstances([]roster.Instance{{ID: "b", Place: east1}})
+		target := f.targets["east-1-0"]
+		answer(l, target, placement.OutcomeAnswered, placement.Hints{Limit: placement.LimitNamed, LimitRate: 1})
+		if isUsed(p, l) {
+			t.Fatal("an instance that is not an owner of the limit uses the target")
+		}
+		earlier := target
+		target.Started++
+		f.updateTargets(target)
+		if !isUsed(p, l) {
+			t.Error("a restarted target is not used, as its earlier incarnation named a limit")
+		}
+		answer(l, earlier, placement.OutcomeAnswered, placement.Hints{Limit: placement.LimitNamed, LimitRate: 1})
+		if !isUsed(p, l) {
+			t.Error("a target is not used because of a late response of its earlier incarnation")
+		}
+	})
+}
+
+// TestImpossibleLimitOfNeighbor checks that a neighbor's malformed update neither names nor withdraws a limit.
+func TestImpossibleLimitOfNeighbor(t *testing.T) {
+	f := newFixture()
+	f.addTargets(1, east1)
+	p, l := f.newPlacement("a", east1)
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		l.Merge("b", placement.LoadUpdate{News: []placement.AttemptResult{
+			{Target: "east-1-0", Outside: -1, Limit: placement.LimitNamed, LimitRate: rate},
+			{Target: "east-1-0", Outside: -1, Limit: 77, LimitRate: 1},
+		}})
+		if !isUsed(p, l) {
+			t.Errorf("a target is not used after a neighbor has reported the limit %v", rate)
+		}
+	}
+}
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -167,6 +167,11 @@
 	ejected bool
 	// leaving is true if the target has said that it leaves.
 	leaving bool
+	// limited is true if the target names a limit, and limit is that limit in requests per second.
+	limited bool
+	limit   float64
+	// idle is true if this instance has no request at the target.
+	idle bool
 	// availableIn is how long the target wants no requests; zero or negative if it takes them.
 	availableIn time.Duration
 	// wait is the estimated time until a slot is free, expected the estimated response time.
@@ -222,7 +227,10 @@
 	times := l.processingTimeOf(service, goal)
 	// After an ejection, one attempt at a time probes whether the target has recovered.
 	probing := state.ejections > 0 && state.inFlight > 0
-	e := estimate{load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), leaving: state.hints.leaving, availableIn: state.hints.availableIn(now)}
+	e := estimate{
+		load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), idle: state.inFlight == 0,
+		leaving: state.hints.leaving, limited: state.hints.limited, limit: state.hints.limit, availableIn: state.hints.availableIn(now),
+	}
 	if _, e.warm = state.warmObjects[object]; firstChoice && object != "" {
 		e.warm = true
 	}
@@ -295,7 +303,7 @@
 		return false
 	}
 	state.hints.apply(a.Hints, now)
-	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad, Leaving: a.Hints.Leaving}
+	result := AttemptResult{Target: a.Target.ID, Started: a.Target.Started, Outside: unknownLoad, Leaving: a.Hints.Leaving, Limit: a.Hints.Limit, LimitRate: a.Hints.LimitRate}
 	if a.Report.isPlausible() {
 		state.externalLoad = max(0, float64(a.Report.Running+a.Report.Waiting-state.inFlight)-l.neighborLoad(a.Target.ID, now))
 		state.externalLoadAt = now
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"medlarpond.dev/core/models/roster"
@@ -49,6 +50,18 @@
 	Failure  float64
 	// Leaving is true if the target has said that it leaves.
 	Leaving bool
+	// Limit tells whether the target names a limit, which is LimitRate.
+	Limit     LimitHint
+	LimitRate float64
+}
+
+// hints returns what the target has said in the response, as far as it concerns all instances. An impossible limit says nothing.
+func (r AttemptResult) hints() Hints {
+	h := Hints{Leaving: r.Leaving}
+	if r.Limit == LimitNone || (r.Limit == LimitNamed && r.LimitRate >= 0 && !math.IsInf(r.LimitRate, 0)) {
+		h.Limit, h.LimitRate = r.Limit, r.LimitRate
+	}
+	return h
 }
 
 // neighborState is the latest update of a neighbor.
@@ -153,7 +166,7 @@
 		state := l.stateOf(roster.Target{ID: result.Target, Started: result.Started})
 		state.usedAt = now
 		state.markWarm(result.Object, now)
-		state.hints.apply(Hints{Leaving: result.Leaving}, now)
+		state.hints.apply(result.hints(), now)
 		if result.Outside >= 0 && result.Outside <= maxReportedLoad {
 			state.externalLoad, state.externalLoadAt = result.Outside, now
 			state.domainLoad.update(result.Outside, now)
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -27,6 +27,9 @@
 	// EvacuationLimit is the time since an evacuation may have started after which the failure domain receives no more
 	// requests, also if this instance learned of the evacuation late.
 	EvacuationLimit time.Duration
+	// OwnerTimeout is the time since the last confirmed contact with the store after which the instance no longer uses its part
+	// of the limits that targets name, as the others divide them without it.
+	OwnerTimeout time.Duration
 	// Objects is the number of distinct objects of a service that the callers of one region use concurrently.
 	Objects int
 	// Candidates is the maximum number of targets compared for one request.
@@ -77,16 +80,18 @@
 	// Full is the number of candidates without a free slot or room in the queue, Late the number whose queue is too long
 	// for the deadline of the request, and Spill the number in another region, which may not take more requests now.
 	Full, Late, Spill int
+	// Limited is the number of targets that have named a limit and get no more requests from this instance now.
+	Limited int
 	// Paused is the number of targets that want no requests now, AvailableIn the shortest time until one of them does.
 	Paused      int
 	AvailableIn time.Duration
 }
 
 // Any reports whether a candidate was rejected for lack of capacity.
-func (r Rejected) Any() bool { return r.Full+r.Late+r.Spill+r.Paused > 0 }
+func (r Rejected) Any() bool { return r.Full+r.Late+r.Spill+r.Limited+r.Paused > 0 }
 
 // OnlyPaused reports whether the request has no target because all that could have room want no requests now.
-func (r Rejected) OnlyPaused() bool { return r.Paused > 0 && r.Full+r.Late+r.Spill == 0 }
+func (r Rejected) OnlyPaused() bool { return r.Paused > 0 && r.Full+r.Late+r.Spill+r.Limited == 0 }
 
 // addPaused counts a target that takes requests again after the given time.
 func (r *Rejected) addPaused(availableIn time.Duration) {
@@ -108,6 +113,7 @@
 	// plans is keyed by service and home regions.
 	plans        map[planKey]*plan
 	coldLimiter  coldLimiter
+	limitLimiter limitLimiter
 	spillLimiter spillLimiter
 }
 
@@ -138,6 +144,7 @@
 	return &Placement{
 		state: state, own: own, origins: origins, policy: policy, loads: loads,
 		plans: map[planKey]*plan{}, coldLimiter: coldLimiter{self: self, buckets: map[string]tokenBucket{}},
+		limitLimiter: limitLimiter{self: self, buckets: map[string]*limitBucket{}},
 	}
 }
 
@@ -178,6 +185,7 @@
 	if ok {
 		p.spillLimiter.record(now, c.Target.Place.Region != candidates[0].target.Place.Region)
 		p.coldLimiter.consume(c.Target)
+		p.limitLimiter.consume(c.Target, now)
 		p.loads.Begin(c.Target)
 	}
 	return c, rejected, ok
@@ -234,7 +242,7 @@
 				continue
 			}
 			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
-			if !estimated.isUsable(rejected) {
+			if !estimated.isUsable(rejected) || !p.isWithinLimit(view, hashed.target, estimated, now, rejected) {
 				continue
 			}
 			inRegion++
@@ -253,6 +261,20 @@
 	return !e.leaving && !e.ejected && e.availableIn <= 0
 }
 
+// isWithinLimit reports whether one more request fits into the limit that a target names, if it names one.
+func (p *Placement) isWithinLimit(view *belief.View, t roster.Target, e estimate, now time.Time, rejected *Rejected) bool {
+	if !e.limited {
+		p.limitLimiter.remove(t.ID)
+		return true
+	}
+	confirmed := p.state.SinceConfirmed() <= p.policy.OwnerTimeout
+	if !p.limitLimiter.allows(view, t, e.limit, confirmed, e.idle, now) {
+		rejected.Limited++
+		return false
+	}
+	return true
+}
+
 // isEvacuatedFor reports whether an object must not use a failure domain at the boot time now because the domain is being
 // evacuated or is being restored and the object has not moved back yet. Each object moves at its own time within
 // EvacuationRamp, so that other targets, and the possibly cold targets of a restored domain, do not receive all objects
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -27,13 +27,15 @@
 )
 
 var policy = placement.Policy{
-	RegionShift: 0.03, RegionSpill: 0.06, EvacuationRamp: 3 * time.Second, EvacuationLimit: 4 * time.Second, Objects: 40, Candidates: 6,
+	RegionShift: 0.03, RegionSpill: 0.06, EvacuationRamp: 3 * time.Second, EvacuationLimit: 4 * time.Second, OwnerTimeout: 3 * time.Second, Objects: 40, Candidates: 6,
 	RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2,
 }
 
 // fixture is a state with targets for which tests create placements.
 type fixture struct {
-	state    *belief.State
+	state *belief.State
+	// started is the zero of the boot clock.
+	started  time.Time
 	revision uint64
 	targets  map[string]roster.Target
 }
@@ -43,9 +45,12 @@
 	started := time.Now()
 	state := belief.New(zap.NewNop(), func() time.Duration { return time.Since(started) }, func(int) {})
 	state.Confirm(0)
-	return &fixture{state: state, targets: map[string]roster.Target{}}
+	return &fixture{state: state, started: started, targets: map[string]roster.Target{}}
 }
 
+// confirm records that the store has just responded.
+func (f *fixture) confirm() { f.state.Confirm(time.Since(f.started)) }
+
 func (f *fixture) updateTargets(targets ...roster.Target) {
 	for i := range targets {
 		f.revision++
