target: no attempt on a connection that has carried the same request

Reported by another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran, or the request ran at a second target. Looked for here; it can happen:

Cause: a connection remembered only the request that it carried last. A request that is refused, followed by another on the same connection, and then tried again on it (a target with free slots is tried twice, and other callers use the connection meanwhile) accepts a late copy of its own refusal, as both attempts have the same ID. A request without an ID accepted the copy of any response without one.

Ruled out by tests that passed: a copy that arrives while the connection is idle, one that belongs to the last request, and one with another ID.

Change: a connection remembers the IDs of its last 64 requests (as hashes) and is not used for a request that is among them; requests without an ID get a new connection.

Before: TestLateCopyOfEarlierRefusal got 503 for a request that the target ran, in two of three cases. After: passed, as did all tests of the package.

--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.requestID = x.ID
+	c.recordRequest(x.ID)
 	if err := c.SetDeadline(x.Deadline); err != nil {
 		_ = c.Close()
 		return nil, &ErrNotSent{Cause: err}
--- a/core/services/target/exchange_test.go
+++ b/core/services/target/exchange_test.go
@@ -462,6 +462,45 @@
 	}
 }
 
+// TestLateCopyOfEarlierRefusal lets a target refuse a request, serve others on the same connection, and write the refusal once
+// more when the first request comes again. Taken for the response, it would say "not run" of an attempt that runs.
+func TestLateCopyOfEarlierRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct{ id, between string }{
+		"another request in between":     {"r", "other"},
+		"requests without an ID":         {"", ""},
+		"a request without an ID, later": {"", "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startServer(t, func(conn net.Conn, number int) {
+				serveEach(conn, func(id string, n int) bool {
+					switch {
+					case number == 0 && n == 0:
+						_, _ = io.WriteString(conn, refusal(id))
+					case id == c.id && n > 0:
+						_, _ = io.WriteString(conn, refusal(id)+responseText(id, id))
+					default:
+						_, _ = io.WriteString(conn, responseText(id, id))
+					}
+					return true
+				})
+			})
+			p := target.NewPool()
+			for n, id := range []string{c.id, c.between, c.id} {
+				response, err := p.Do(t.Context(), newExchange(address, id))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if want := http.StatusOK; n > 0 && response.Status != want {
+					t.Errorf("request %d, %q: got status %d, want %d", n+1, id, response.Status, want)
+				}
+			}
+		})
+	}
+}
+
 // TestTargetReadsLargeBodyLate sends an upload to a target that reads nothing for a while, as the request waits in its queue.
 // The connection must not be given up for that before the deadline.
 func TestTargetReadsLargeBodyLate(t *testing.T) {
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/fnv"
 	"net"
 	"slices"
 	"sync"
@@ -24,6 +25,9 @@
 	maxIdleConnections = 8
 	// defaultIdleLimit is how long an idle connection stays usable if the target announces no Keep-Alive timeout.
 	defaultIdleLimit = 4 * time.Second
+	// maxCarriedIDs is the number of requests on a connection whose IDs are remembered. Attempts of one request follow each
+	// other within the time of a few requests.
+	maxCarriedIDs = 64
 	// sweepInterval is the time between two searches for expired idle connections.
 	sweepInterval = 2 * time.Second
 )
@@ -49,8 +53,9 @@
 	bound  *boundedReader
 	// longTimeout is true while sent data may stay unacknowledged for longer than unacknowledgedTimeout.
 	longTimeout bool
-	// requestID is the ID of the request that was last sent on the connection.
-	requestID string
+	// carried holds the hashes of the IDs of the latest requests on the connection, carriedCount the number of all.
+	carried      [maxCarriedIDs]uint64
+	carriedCount int
 	// idleSince is when the connection was last used; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is how long the connection may stay idle.
@@ -75,7 +80,7 @@
 }
 
 // get returns a connection that was idle for at most maxIdle, or a new one. Connecting is bounded by the deadline. The
-// connection has not carried the request with the given ID last: a late copy of the response to that attempt has the same
+// connection has not carried the request with the given ID before: a late copy of the response to that attempt has the same
 // ID and could not be told from the response to this one.
 func (p *Pool) get(ctx context.Context, address, id string, maxIdle time.Duration, deadline time.Time) (*conn, error) {
 	for {
@@ -114,14 +119,14 @@
 	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}
 }
 
-// pop returns the most recently used idle connection of an address whose last request has another ID, or nil. A
+// pop returns the most recently used idle connection of an address that has not carried the ID, or nil. A
 // connection that was idle for longer than maxIdle stays in the pool for requests that may use it.
 func (p *Pool) pop(address, id string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i := len(list) - 1; i >= 0 && time.Since(list[i].idleSince) <= maxIdle; i-- {
-		if c := list[i]; c.requestID != id {
+		if c := list[i]; !c.hasCarried(id) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -129,6 +134,24 @@
 	return nil
 }
 
+// recordRequest remembers that the connection carries the request with an ID.
+func (c *conn) recordRequest(id string) {
+	c.carried[c.carriedCount%maxCarriedIDs] = hashID(id)
+	c.carriedCount++
+}
+
+// hasCarried reports whether the connection may have carried a request with an ID. Requests without an ID cannot be told from
+// each other.
+func (c *conn) hasCarried(id string) bool {
+	return id == "" || slices.Contains(c.carried[:min(c.carriedCount, maxCarriedIDs)], hashID(id))
+}
+
+func hashID(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
 	c.idleSince = time.Now()
