placement: an instance without the store no longer owns cold targets

Cause: the one instance that may use a cold target is chosen from the list of instances. One that loses the store keeps the list with itself in it, and goes on, while the others see its lease expire and choose another. With each further instance that loses the store one more acts as owner. The bound counts all instances, in touch or not.

Change: without a confirmed contact with the store for contact-within an instance is no owner, as with named limits.

Before: TestColdRateHoldsAroundHandOver got 11 requests in a second with 4 of 7 instances without the store, where 9 are allowed. After: passed. The clock of TestColdRateHoldsAcrossInstances runs for 5 s, so it now confirms the contact that its instances are meant to have; its bound is unchanged.

--- a/core/services/placement/cold.go
+++ b/core/services/placement/cold.go
@@ -31,8 +31,9 @@
 	b.refilledAt = now
 }
 
-// allows reports whether this instance may send one more request to the target.
-func (c *coldLimiter) allows(view *belief.View, t roster.Target, now time.Time) bool {
+// allows reports whether this instance may send one more request to the target. confirmed is false if the instance has had no
+// contact with the store for Policy.OwnerTimeout.
+func (c *coldLimiter) allows(view *belief.View, t roster.Target, confirmed bool, now time.Time) bool {
 	if !now.Before(t.ColdUntil) {
 		delete(c.buckets, t.ID)
 		return true
@@ -41,7 +42,7 @@
 	if rate <= 0 {
 		return true
 	}
-	if c.ownerOf(view, t.ID) != c.self {
+	if !confirmed || c.ownerOf(view, t.ID) != c.self {
 		return false
 	}
 	bucket, ok := c.buckets[t.ID]
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -27,8 +27,8 @@
 	// EvacuationLimit is the time since an evacuation may have started after which the failure domain receives no more
 	// requests, also if this instance learned of the evacuation late.
 	EvacuationLimit time.Duration
-	// OwnerTimeout is the time since the last confirmed contact with the store after which the instance no longer uses its part
-	// of the limits that targets name, as the others divide them without it.
+	// OwnerTimeout is the time since the last confirmed contact with the store after which the instance no longer acts as an
+	// owner, of cold targets and of the limits that targets name, as the others have chosen owners without it.
 	OwnerTimeout time.Duration
 	// Objects is the number of distinct objects of a service that the callers of one region use concurrently.
 	Objects int
@@ -238,7 +238,7 @@
 			if inRegion == max(1, p.policy.Candidates/2) {
 				break
 			}
-			if slices.Contains(q.Excluded, hashed.target.ID) || !p.coldLimiter.allows(view, hashed.target, now) {
+			if slices.Contains(q.Excluded, hashed.target.ID) || !p.coldLimiter.allows(view, hashed.target, p.isConfirmed(), now) {
 				continue
 			}
 			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
@@ -261,14 +261,16 @@
 	return !e.leaving && !e.ejected && e.availableIn <= 0
 }
 
+// isConfirmed reports whether this instance may still act as an owner.
+func (p *Placement) isConfirmed() bool { return p.state.SinceConfirmed() <= p.policy.OwnerTimeout }
+
 // isWithinLimit reports whether one more request fits into the limit that a target names, if it names one.
 func (p *Placement) isWithinLimit(view *belief.View, t roster.Target, e estimate, now time.Time, rejected *Rejected) bool {
 	if !e.limited {
 		p.limitLimiter.remove(t.ID)
 		return true
 	}
-	confirmed := p.state.SinceConfirmed() <= p.policy.OwnerTimeout
-	if !p.limitLimiter.allows(view, t, e.limit, confirmed, e.idle, now) {
+	if !p.limitLimiter.allows(view, t, e.limit, p.isConfirmed(), e.idle, now) {
 		rejected.Limited++
 		return false
 	}
--- a/core/services/placement/placement_test.go
+++ b/core/services/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"medlarpond.dev/core/models/intent"
 	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/modules/rendezvous"
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/placement"
 )
@@ -278,6 +280,7 @@
 		for range 5 {
 			sent := 0
 			for range 50 {
+				f.confirm()
 				for n, p := range fleet {
 					if c, _, ok := p.Choose(query("x")); ok {
 						sent++
@@ -472,3 +475,65 @@
 		})
 	}
 }
+
+// TestColdRateHoldsAroundHandOver lets instances lose the store one after the other. Each that is lost leaves the list of the
+// others, which choose another instance for the cold target, while the lost ones keep the lists that they had.
+func TestColdRateHoldsAroundHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, count = 2.7, 7
+		i, err := intent.New(intent.Content{Version: 1, Services: []intent.Service{{Name: "orders", ColdRate: rate}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fixtures []*fixture
+		var fleet []*placement.Placement
+		var loads []*placement.LoadTracker
+		var listed []roster.Instance
+		for n := range count {
+			instance := roster.Instance{ID: fmt.Sprint("i-", n), Place: east1}
+			f := newFixture()
+			f.state.SetIntent(i, 1)
+			f.updateTargets(roster.Target{ID: "cold", Service: "orders", Place: east1, Slots: 3, ColdUntil: time.Now().Add(time.Minute)})
+			p, l := f.newPlacement(instance.ID, east1)
+			fixtures, fleet, loads, listed = append(fixtures, f), append(fleet, p), append(loads, l), append(listed, instance)
+		}
+		lost := map[string]bool{}
+		bound := int(math.Floor(float64(rate)*1.5 + 5))
+		for range count - 1 {
+			for n, f := range fixtures {
+				if !lost[fmt.Sprint("i-", n)] {
+					f.state.SetInstances(slices.Clone(listed))
+				}
+			}
+			// The instance that may use the cold target loses the store, and its lease expires after OwnerTimeout.
+			owner := rendezvous.Owners([]byte("cold"), instanceIDs(listed), 1)[0]
+			lost[owner] = true
+			for elapsed := time.Duration(0); elapsed < policy.OwnerTimeout+time.Second; elapsed += time.Second {
+				sent := 0
+				for range 50 {
+					for n, p := range fleet {
+						if !lost[fmt.Sprint("i-", n)] {
+							fixtures[n].confirm()
+						}
+						if c, _, ok := p.Choose(query("x")); ok {
+							sent++
+							loads[n].End(placement.Attempt{Target: c.Target, Outcome: placement.OutcomeCancelled})
+						}
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				if sent > bound {
+					t.Fatalf("got %d requests in a second to a cold target with %d instances without the store, want at most %d", sent, len(lost), bound)
+				}
+			}
+			listed = slices.DeleteFunc(listed, func(i roster.Instance) bool { return i.ID == owner })
+		}
+	})
+}
+
+func instanceIDs(instances []roster.Instance) (ids []string) {
+	for _, i := range instances {
+		ids = append(ids, i.ID)
+	}
+	return ids
+}
