placement: instances that are no longer listed count for the probes of a limit

Found by a mutant that survived: without the check that an owner has contact with the store, TestLimitHoldsWhileInstancesDisagree passed. Its case of instances that lose the store was too weak (at the end, each instance had another list and was confirmed all the same, which cannot be), so it gives way to TestLimitHoldsAroundHandOver, in which each time one that divides the limit loses the store, to the end of the fleet; the lists of the other case now also grow again.

Change: the interval of the single requests follows the largest number of instances that were listed at a time.

--- a/core/services/placement/limit.go
+++ b/core/services/placement/limit.go
@@ -33,6 +33,9 @@
 // others send one request at long intervals.
 type limitLimiter struct {
 	self string
+	// mostInstances is the largest number of instances that were listed at a time. Instances that are no longer listed may be
+	// alive and send their single requests.
+	mostInstances int
 	// buckets is keyed by target ID and holds targets that name a limit.
 	buckets map[string]*limitBucket
 }
@@ -70,7 +73,8 @@
 	if !ok || b.limit != limit || !sameSlice(b.instances, view.Instances) {
 		wasOwner := b.owner
 		b.limit, b.instances = limit, view.Instances
-		b.divide(l.self, t)
+		l.mostInstances = max(l.mostInstances, len(view.Instances), 1)
+		b.divide(l.self, l.mostInstances, t)
 		if !ok || wasOwner != b.owner {
 			b.probeAt = now.Add(b.phase)
 		}
@@ -95,8 +99,8 @@
 // remove forgets a target that names no limit any more.
 func (l *limitLimiter) remove(id string) { delete(l.buckets, id) }
 
-// divide computes this instance's part of the limit.
-func (b *limitBucket) divide(self string, t roster.Target) {
+// divide computes this instance's part of the limit. mostInstances is the largest number of instances that may be alive.
+func (b *limitBucket) divide(self string, mostInstances int, t roster.Target) {
 	ranked := rankByDistance(b.instances, t)
 	owners := max(1, int(min(limitUse*b.limit/minOwnerRate, float64(len(ranked)))))
 	rank := slices.Index(ranked, self)
@@ -106,7 +110,7 @@
 	b.owner = rank < owners
 	b.rate = max(limitUse*b.limit, minLimitRate) / float64(owners)
 	spacing := float64(time.Second) / max(probeUse*b.limit, minLimitRate)
-	b.interval = time.Duration(float64(max(len(ranked)-owners, 1)) * spacing)
+	b.interval = time.Duration(float64(mostInstances) * spacing)
 	b.phase = time.Duration(float64(max(rank-owners, 0)+1) * spacing)
 }
 
--- a/core/services/placement/limit_test.go
+++ b/core/services/placement/limit_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/modules/rendezvous"
 	"medlarpond.dev/core/services/placement"
 )
 
@@ -28,6 +30,8 @@
 	// listed holds the instances that are registered.
 	listed map[int]bool
 	hints  placement.Hints
+	// places are the places of the instances, in turn.
+	places []roster.Place
 	// namedAt is when the target has first named its limit, toldAt when each instance has received it.
 	namedAt time.Time
 	toldAt  map[int]time.Time
@@ -37,12 +41,12 @@
 	sent    int
 }
 
-func limitInstance(n int) roster.Instance {
-	return roster.Instance{ID: fmt.Sprint("i-", n), Place: sites[n%len(sites)]}
+func (f *limitFleet) instance(n int) roster.Instance {
+	return roster.Instance{ID: fmt.Sprint("i-", n), Place: f.places[n%len(f.places)]}
 }
 
-func newLimitFleet(instances int) *limitFleet {
-	f := &limitFleet{toldAt: map[int]time.Time{}, listed: map[int]bool{}}
+func newLimitFleet(instances int, places ...roster.Place) *limitFleet {
+	f := &limitFleet{places: places, toldAt: map[int]time.Time{}, listed: map[int]bool{}}
 	for n := range instances {
 		f.listed[n] = true
 		f.fixtures, f.placements, f.loads = append(f.fixtures, nil), append(f.placements, nil), append(f.loads, nil)
@@ -59,7 +63,7 @@
 	fixture := newFixture()
 	fixture.updateTargets(roster.Target{ID: "t", Service: "orders", Place: east1, Slots: 1000})
 	f.fixtures[n] = fixture
-	f.placements[n], f.loads[n] = fixture.newPlacement(limitInstance(n).ID, limitInstance(n).Place)
+	f.placements[n], f.loads[n] = fixture.newPlacement(f.instance(n).ID, f.instance(n).Place)
 	f.publish(n)
 	delete(f.toldAt, n)
 }
@@ -69,7 +73,7 @@
 	var list []roster.Instance
 	for i := range f.fixtures {
 		if f.listed[i] {
-			list = append(list, limitInstance(i))
+			list = append(list, f.instance(i))
 		}
 	}
 	f.fixtures[n].state.SetInstances(list)
@@ -123,7 +127,7 @@
 		for _, limit := range []float64{0, 0.2, 1, 1.9, 7, 60, 1e12} {
 			t.Run(fmt.Sprintf("%d instances, limit %v", instances, limit), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newLimitFleet(instances)
+					f := newLimitFleet(instances, sites...)
 					f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
 					const duration = 30 * time.Second
 					f.run(duration, always)
@@ -140,8 +144,7 @@
 	}
 }
 
-// TestLimitHoldsWhileInstancesDisagree restarts instances, keeps the list of instances from some for a while, and takes the
-// store from others, which are then no longer registered.
+// TestLimitHoldsWhileInstancesDisagree restarts instances, and lets some learn late that others left or came back.
 func TestLimitHoldsWhileInstancesDisagree(t *testing.T) {
 	const limit, instances = 1.9, 7
 	for name, disturb := range map[string]func(f *limitFleet){
@@ -151,34 +154,21 @@
 				f.run(time.Second, always)
 			}
 		},
-		"instances leave, and others learn of it late": func(f *limitFleet) {
+		"instances leave and come back, and others learn of it late": func(f *limitFleet) {
 			for n := range 4 {
-				delete(f.listed, n)
-				for learns := range instances {
-					f.run(150*time.Millisecond, always)
-					f.publish((learns + n) % instances)
-				}
-			}
-		},
-		"half of the instances lose the store": func(f *limitFleet) {
-			lost := func(n int) bool { return n%2 == 1 }
-			f.run(limitContact, lost)
-			for n := range instances {
-				if f.listed[n] = lost(n); lost(n) {
-					defer f.publish(n)
-				}
-			}
-			for n := range instances {
-				if lost(n) {
-					f.publish(n)
+				for _, listed := range []bool{false, true} {
+					f.listed[n] = listed
+					for learns := range instances {
+						f.run(150*time.Millisecond, always)
+						f.publish((learns + n) % instances)
+					}
 				}
 			}
-			f.run(10*time.Second, lost)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newLimitFleet(instances)
+				f := newLimitFleet(instances, sites...)
 				f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
 				f.run(5*time.Second, always)
 				disturb(f)
@@ -191,12 +181,41 @@
 	}
 }
 
+// TestLimitHoldsAroundHandOver lets instances lose the store one after the other, each time one that divides the limit. The
+// others choose another one in its place, while the lost ones keep the lists that they had.
+func TestLimitHoldsAroundHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, instances = 1.9, 7
+		f := newLimitFleet(instances, east1)
+		f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
+		connected := func(n int) bool { return f.listed[n] }
+		f.run(5*time.Second, connected)
+		for range instances - 1 {
+			var ids []string
+			for n := range f.listed {
+				ids = append(ids, f.instance(n).ID)
+			}
+			owner := rendezvous.Owners([]byte("t"), ids, 1)[0]
+			maps.DeleteFunc(f.listed, func(n int, _ bool) bool { return f.instance(n).ID == owner })
+			f.run(policy.OwnerTimeout, connected)
+			for n := range f.listed {
+				f.publish(n)
+			}
+			f.run(time.Second, connected)
+		}
+		f.run(limitWindow, connected)
+		if f.most > allowedWithLimit(limit) {
+			t.Errorf("got %d requests in %v, want at most %d", f.most, limitWindow, allowedWithLimit(limit))
+		}
+	})
+}
+
 // TestWithdrawnLimit checks that all instances use a target again after it has withdrawn its limit, and that a response that
 // does not tell withdraws nothing.
 func TestWithdrawnLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const instances = 7
-		f := newLimitFleet(instances)
+		f := newLimitFleet(instances, sites...)
 		f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: 2}
 		f.run(5*time.Second, always)
 		f.hints = placement.Hints{}
