forward: an unmarked refusal of a target does not mean that it has not run

Found while checking the report of refusals that were not true: a response with 503, 429 or 408 and neither the target's mark for 'not run' nor its seal went to the caller as it was, and callers take these statuses for the promise that the request has not run and never will. Something between us and the target, or a faulty target, may have sent it after the request ran.

Change: the outcome is unknown. Idempotent requests may be tried again, others get 502. Sealed responses are passed on as before. 421 keeps its meaning, which the users' pages define without the mark.

--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -237,6 +237,9 @@
 	}
 	misdirected := func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }
 	unsealed := func(w http.ResponseWriter) { _, _ = io.WriteString(w, "no seal") }
+	unsealedRefusal := func(status int) func(w http.ResponseWriter) {
+		return func(w http.ResponseWriter) { w.WriteHeader(status) }
+	}
 	tooSlow := func(http.ResponseWriter) { time.Sleep(1300 * time.Millisecond) }
 	for _, c := range []struct {
 		name                              string
@@ -254,6 +257,10 @@
 		{"all fail", always(fail), 500, 500, 2, 1},
 		{"first responds without a seal", firstThen(unsealed), 200, 502, 2, 1},
 		{"all respond without a seal", always(unsealed), 502, 502, 2, 1},
+		{"first refuses without a statement that it has not run", firstThen(unsealedRefusal(503)), 200, 502, 2, 1},
+		{"all answer 503 without that statement", always(unsealedRefusal(503)), 502, 502, 2, 1},
+		{"all answer 429 without that statement", always(unsealedRefusal(429)), 502, 502, 2, 1},
+		{"all answer 408 without that statement", always(unsealedRefusal(408)), 502, 502, 2, 1},
 		{"all exceed the timeout", always(tooSlow), 504, 504, 1, 1},
 	} {
 		for route, want := range map[string][2]int{"read": {c.readStatus, c.maxReadAttempts}, "write": {c.writeStatus, c.maxWriteAttempts}} {
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -209,7 +209,7 @@
 		return outcomeNotRun, placement.OutcomeMisdirected
 	case response.Header.Get(f.Headers.NotRun) != "":
 		return outcomeNotRun, placement.OutcomeRefused
-	case response.Header.Get(f.Headers.Seal) == "" && response.Status < http.StatusBadRequest:
+	case response.Header.Get(f.Headers.Seal) == "" && (response.Status < http.StatusBadRequest || meansNotRun(response.Status)):
 		return outcomeUnknown, placement.OutcomeFailed
 	case response.Status >= http.StatusInternalServerError:
 		if time.Until(c.deadline) < minAttemptTime {
@@ -222,6 +222,17 @@
 	}
 }
 
+// meansNotRun reports whether a caller takes a status for the statement that its request has not run. Only a target's mark for
+// that, or its seal, shows that the target has said so itself.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // reportsFreeSlots reports whether a target that refused a request has free slots according to its load report. A
 // target with free slots refuses at random, so it is worth a retry: another one would not have the object warm.
 func (f *Forwarder) reportsFreeSlots(refused *target.Response) bool {
