forward, placement, crash: comments and log fields after a second reading

No behavior changes: the fields of an attempt's line with what the target said are built in one place, the comments on the least rates of a limit say which is which, the package comment of crash names both of its types, and the fleets of TestLimitHoldsInFleets run in parallel. Tests of the four packages passed.

--- a/core/services/crash/crash.go
+++ b/core/services/crash/crash.go
@@ -1,6 +1,7 @@
-// Package crash prevents a request that crashes targets from reaching more than two of them in the whole fleet.
+// Package crash prevents a request that crashes targets from reaching more than a few of them in the whole fleet. A Guard does
+// so for instances that call each other, a Tally for instances that share a store.
 //
-// When a target's connection closes after the request was sent and before a response, the attempt counts as a crash,
+// For the Guard: when a target's connection closes after the request was sent and before a response, the attempt counts as a crash,
 // and the request's fingerprint becomes a suspect at every instance. One more attempt, called the second attempt, is
 // allowed, which the owner of the fingerprint grants. If it crashes too, the fingerprint is blocked.
 package crash
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -298,13 +298,7 @@
 	}
 	if response != nil {
 		fields = append(fields, zap.Int("status", response.Status), zap.String("target-load", response.Header.Get(f.Headers.Load)))
-		for field, header := range map[string]string{
-			"target-limit": f.Headers.Limit, "target-leaving": f.Headers.Leaving, "target-retry-after": retryAfterHeader,
-		} {
-			if value := response.Header.Get(header); value != "" {
-				fields = append(fields, zap.String(field, value))
-			}
-		}
+		fields = append(fields, f.hintFields(response.Header)...)
 		f.logNewHeaders(choice.Target.ID, response.Header)
 	}
 	if err != nil {
--- a/core/services/forward/hints.go
+++ b/core/services/forward/hints.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
 )
@@ -50,6 +52,18 @@
 	return hint, rate
 }
 
+// hintFields returns log fields with what a target has said about the requests that it wants, as it was sent.
+func (f *Forwarder) hintFields(h http.Header) (fields []zap.Field) {
+	for _, hint := range [...]struct{ field, header string }{
+		{"target-limit", f.Headers.Limit}, {"target-leaving", f.Headers.Leaving}, {"target-retry-after", retryAfterHeader},
+	} {
+		if value := h.Get(hint.header); value != "" {
+			fields = append(fields, zap.String(hint.field, value))
+		}
+	}
+	return fields
+}
+
 // parseDecimal parses a decimal number that is not negative, such as 2 or 0.75.
 func parseDecimal(value string) (float64, bool) {
 	value = strings.TrimSpace(value)
--- a/core/services/placement/limit.go
+++ b/core/services/placement/limit.go
@@ -14,8 +14,7 @@
 	// limitUse is the fraction of a named limit that its owners use. The rest is for requests of instances that do not know
 	// the limit yet, and of owners that disagree for a moment about who they are.
 	limitUse = 0.75
-	// minOwnerRate is the rate of an owner, in requests per second, below which the limit has fewer owners. It is also what an
-	// only owner uses of a lower limit, as only a response shows that the target takes more again.
+	// minOwnerRate is the least part of an owner, in requests per second, if there are several.
 	minOwnerRate = 0.5
 	// probeUse is the fraction of a named limit that all other instances together use to learn whether it still holds.
 	probeUse = 0.2
@@ -23,7 +22,8 @@
 	limitBurst = 1.0
 	// maxLimitBuckets bounds the buckets; targets that are gone leave theirs behind.
 	maxLimitBuckets = 1024
-	// minLimitRate is the least rate of the requests to a target, in requests per second, by owners and by others.
+	// minLimitRate is the least rate, in requests per second, of the owners together and of the other instances together, as
+	// only a response shows that the target takes more again.
 	minLimitRate = 0.2
 )
 
--- a/core/services/placement/limit_test.go
+++ b/core/services/placement/limit_test.go
@@ -126,6 +126,7 @@
 	for _, instances := range []int{1, 3, 7, 79} {
 		for _, limit := range []float64{0, 0.2, 1, 1.9, 7, 60, 1e12} {
 			t.Run(fmt.Sprintf("%d instances, limit %v", instances, limit), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newLimitFleet(instances, sites...)
 					f.hints = placement.Hints{Limit: placement.LimitNamed, LimitRate: limit}
