--- a/core/services/crash/tally.go
+++ b/core/services/crash/tally.go
@@ -18,11 +18,11 @@
 // Death is the death of a target. Instances that see the same death describe it in the same way.
 type Death struct {
 	// Target and Started identify the incarnation, as far as the instance that saw the death knew it.
-	Target  string `json:"target"`
-	Started int64  `json:"started"`
+	Target  string
+	Started int64
 	// Repeat is the number of earlier deaths with the same Target and Started: the target has restarted since, and its new
 	// description was not known yet.
-	Repeat int `json:"repeat,omitempty"`
+	Repeat int
 }
 
 // Record is what the store holds of a request under which targets have died.
