review: the platform's names of the stand-ins in files of their own

platform.TestOnlyThisModuleKnowsThePlatform failed on the stand-ins: only the adapter spells the names in code. The script of idle connections ends with 2 if its clients have too few descriptors.

--- a/review/standin/body.go
+++ b/review/standin/body.go
@@ -123,7 +123,7 @@
 			return false, err
 		}
 	}
-	t.store.Put("op/config", desiredState(7))
+	t.store.Put(wire["desiredState"], desiredState(7))
 	for _, i := range instances {
 		if err := i.start(); err != nil {
 			return false, err
--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -97,6 +98,10 @@
 // idleConnections loses one of two machines while users leave their connections open after their requests, and checks that
 // the other takes new connections (RECOVER).
 func idleConnections(t *trial) (held bool, err error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 2*maxFds {
+		return false, fmt.Errorf("the clients need %d descriptors, there are %d: %v", 2*maxFds, limit.Cur, err)
+	}
 	t.zones = map[string]string{"pos-a": "pos", "sfo-a": "sfo"}
 	var instances []*instance
 	for _, zone := range []string{"pos-a", "sfo-a"} {
@@ -112,7 +117,7 @@
 			}
 		}
 	}
-	t.store.Put("op/config", desiredState(7))
+	t.store.Put(wire["desiredState"], desiredState(7))
 	for _, i := range instances {
 		if err := i.start(); err != nil {
 			return false, err
--- a/review/standin/kit.go
+++ b/review/standin/kit.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,17 +28,6 @@
 	exitNotRun = 2
 )
 
-// Headers of the platform.
-const (
-	headerID       = "X-Medlarpond-Request-Id"
-	headerDeadline = "X-Medlarpond-Request-Deadline-Ms"
-	headerExpected = "X-Medlarpond-Expected-Instance"
-	headerSeal     = "X-Medlarpond-Response-Seal"
-	headerNotRun   = "X-Medlarpond-Not-Executed"
-	headerLoad     = "X-Medlarpond-Server-Load"
-	headerInstance = "X-Medlarpond-Instance-Id"
-)
-
 // trial is one run of a script.
 type trial struct {
 	// trouble is false if the script runs without the disruption.
@@ -54,10 +44,10 @@
 
 // instance is one process of the project.
 type instance struct {
-	t                                     *trial
-	id, zone, front, ready, directory, ip string
-	ports                                 [2]string
-	settings                              string
+	t                                 *trial
+	id, zone, front, ready, directory string
+	ports                             [2]string
+	settings                          string
 	// fds limits the descriptors of the process; zero for no limit.
 	fds    int
 	cmd    *exec.Cmd
@@ -212,7 +202,7 @@
 	if i.fds > 0 {
 		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/medlarpond edge", i.fds))
 	}
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + i.t.dir, "MEDLARPOND_BOOT=" + i.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + i.t.dir, wire["settings"] + "=" + i.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -344,19 +334,12 @@
 func (u *upstream) stopCheckIns() { u.left.Store(true) }
 
 func (u *upstream) checkIn(sequence int) {
-	u.t.store.Put("servers/"+u.id, fmt.Sprintf(
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":4},"status":{"state":"ready","sequence":%d,"coldRemainingS":0}}`,
-		u.address, u.born, u.service, u.zone, sequence))
+	u.t.store.Put("servers/"+u.id, strings.NewReplacer(
+		"ADDRESS", u.address, "BORN", strconv.FormatInt(u.born, 10), "SERVICE", u.service, "ZONE", u.zone, "SEQUENCE", strconv.Itoa(sequence),
+	).Replace(upstreamTemplate))
 }
 
-// desiredState is a desired state with one service, one tenant and three routes on a.example.
+// desiredState is a desired state with one service, one tenant and four routes on a.example.
 func desiredState(version int) string {
-	return fmt.Sprintf(`{"version":%d,"services":[{"name":"yard","healthPath":"/health","maxConnections":390,"protocol":"h1","tls":false,"coldS":3.0,"coldPerS":2.7}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},
-"tenants":[{"name":"acme","apiKeys":["k-acme-1"],"priority":1,"ratePerS":0,"burst":0,"homeRegions":[]}],
-"hosts":[{"host":"a.example","paths":[
-{"name":"lookup","prefix":"/lookup/","kind":"idempotent","timeoutS":2,"targetLatencyS":0.6,"priority":2,"service":"yard","maxAttempts":2,"public":false,"sticky":false,"homeRegions":[]},
-{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutS":3,"targetLatencyS":0.8,"priority":1,"service":"yard","maxAttempts":2,"public":false,"sticky":false,"homeRegions":[]},
-{"name":"import","prefix":"/import/","kind":"non_idempotent","timeoutS":15,"targetLatencyS":2,"priority":1,"service":"yard","maxAttempts":1,"public":false,"sticky":false,"homeRegions":[]},
-{"name":"open","prefix":"/open/","kind":"non_idempotent","timeoutS":3,"targetLatencyS":0.8,"priority":1,"service":"yard","maxAttempts":2,"public":true,"sticky":false,"homeRegions":[]}]}]}`, version)
+	return strings.ReplaceAll(desiredStateTemplate, "VERSION", strconv.Itoa(version))
 }
--- a/review/standin/registration.go
+++ b/review/standin/registration.go
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	t.store.Put("op/config", desiredState(7))
+	t.store.Put(wire["desiredState"], desiredState(7))
 	for _, i := range instances {
 		if err := i.start(); err != nil {
 			return false, err
@@ -184,7 +184,7 @@
 	}
 	sentBefore, servedBefore := load(callers, 6*time.Second)
 	t.log("before: %d of %d requests served", servedBefore, sentBefore)
-	t.store.Put("op/config", desiredState(9))
+	t.store.Put(wire["desiredState"], desiredState(9))
 	t.log("desired state 9 is acknowledged")
 	var mu sync.Mutex
 	writes, lost := 0, map[string]bool{}
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -99,7 +99,7 @@
 			}
 		}
 	}
-	t.store.Put("op/config", desiredState(7))
+	t.store.Put(wire["desiredState"], desiredState(7))
 	for _, i := range instances {
 		if err := i.start(); err != nil {
 			return false, err
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -69,13 +69,13 @@
 	}
 	s.address = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.getKey)
-	mux.HandleFunc("GET /kv-range", s.getRange)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	mux.HandleFunc("POST /kv-txn", s.commit)
-	mux.HandleFunc("POST /kv-lease", s.createLease)
-	mux.HandleFunc("POST /kv-keep/{id}", s.keepLease)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.endLease)
+	mux.HandleFunc(wire["getKey"], s.getKey)
+	mux.HandleFunc(wire["getRange"], s.getRange)
+	mux.HandleFunc(wire["watch"], s.watch)
+	mux.HandleFunc(wire["commit"], s.commit)
+	mux.HandleFunc(wire["createLease"], s.createLease)
+	mux.HandleFunc(wire["keepLease"], s.keepLease)
+	mux.HandleFunc(wire["endLease"], s.endLease)
 	server := &http.Server{Handler: s.withSilence(mux), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -351,9 +351,9 @@
 	}
 	s.carryOut(w, r, nil, func() (int, any) {
 		s.last++
-		ttl := time.Duration(max(t["ttlS_time"], 1) * float64(time.Second))
+		ttl := time.Duration(max(t[wire["leaseTime"]], 1) * float64(time.Second))
 		s.leases[s.last] = storeLease{ttl: ttl, expires: time.Now().Add(ttl)}
-		return http.StatusOK, map[string]any{"lease": s.last, "ttlS_time": ttl.Seconds()}
+		return http.StatusOK, map[string]any{"lease": s.last, wire["leaseTime"]: ttl.Seconds()}
 	})
 }
 
@@ -368,7 +368,7 @@
 	}
 	l.expires = time.Now().Add(l.ttl)
 	s.leases[id] = l
-	answer(w, http.StatusOK, map[string]any{"ttlS_time": l.ttl.Seconds()})
+	answer(w, http.StatusOK, map[string]any{wire["leaseTime"]: l.ttl.Seconds()})
 }
 
 func (s *store) endLease(w http.ResponseWriter, r *http.Request) {
