--- a/review/standin/kit.go
+++ b/review/standin/kit.go
@@ -35,6 +35,8 @@
 	store   *store
 	dir     string
 	zones   map[string]string
+	// coldFor is how long the upstreams that are started stay cold.
+	coldFor time.Duration
 	started time.Time
 
 	mu        sync.Mutex
@@ -55,7 +57,10 @@
 }
 
 func main() {
-	cases := map[string]func(*trial) (bool, error){"registration": registration, "body": earlyAnswer, "idle": idleConnections, "silent": silentConnections}
+	cases := map[string]func(*trial) (bool, error){
+		"body": earlyAnswer, "registration": registration, "idle": idleConnections, "silent": silentConnections,
+		"keys": withoutTenants, "cold": allCold, "blocked": blockedRequest, "cut": cutWatch, "hup": earlyReload,
+	}
 	run, ok := cases[strings.Join(os.Args[1:2], "")]
 	if !ok || len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD")
@@ -296,6 +301,7 @@
 	t                          *trial
 	id, service, address, zone string
 	born                       int64
+	coldUntil                  time.Time
 	left                       atomic.Bool
 	listener                   net.Listener
 }
@@ -308,7 +314,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{t: t, id: id, service: service, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), listener: l}
+	u := &upstream{t: t, id: id, service: service, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), coldUntil: time.Now().Add(t.coldFor), listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -336,6 +342,7 @@
 func (u *upstream) checkIn(sequence int) {
 	u.t.store.Put("servers/"+u.id, strings.NewReplacer(
 		"ADDRESS", u.address, "BORN", strconv.FormatInt(u.born, 10), "SERVICE", u.service, "ZONE", u.zone, "SEQUENCE", strconv.Itoa(sequence),
+		"COLD", strconv.FormatFloat(max(0, time.Until(u.coldUntil).Seconds()), 'f', 3, 64),
 	).Replace(upstreamTemplate))
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -54,6 +54,9 @@
 	changed  chan struct{}
 	// silence is closed when the open connections go silent; it is replaced for the later ones.
 	silence chan struct{}
+	// cuts is closed and replaced to cut the watches that wait; streamHeads sends the head of their answers at once.
+	cuts        chan struct{}
+	streamHeads bool
 	// fault decides what happens to a write; nil for no faults.
 	fault func(write) writeFault
 }
@@ -61,7 +64,7 @@
 func startStore() (*store, error) {
 	s := &store{
 		revision: 100, items: map[string]storeItem{}, leases: map[uint64]storeLease{}, last: 77000,
-		changed: make(chan struct{}), silence: make(chan struct{}),
+		changed: make(chan struct{}), silence: make(chan struct{}), cuts: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -111,6 +114,17 @@
 	}
 }
 
+// CutAndRemove cuts the watches that wait and then removes a key.
+func (s *store) CutAndRemove(key string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cut {
+		close(s.cuts)
+		s.cuts = make(chan struct{})
+	}
+	s.remove(key)
+}
+
 // RemoveAndSilence removes a key and makes the open connections go silent for good before they have carried that change. New
 // connections work.
 func (s *store) RemoveAndSilence(key string, silent bool) {
@@ -239,9 +253,21 @@
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	send := func(events []storeItem, asOf uint64) {
+		answer(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+	}
+	s.mu.Lock()
+	if s.streamHeads {
+		w.Header().Set("Content-Type", "application/json")
+		_ = http.NewResponseController(w).Flush()
+		send = func(events []storeItem, asOf uint64) {
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": asOf})
+		}
+	}
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		changed, asOf := s.changed, s.revision
+		changed, cut, asOf := s.changed, s.cuts, s.revision
 		events := []storeItem{}
 		for n := len(s.history) - 1; n >= 0 && s.history[n].Revision > after; n-- {
 			if strings.HasPrefix(s.history[n].Key, r.FormValue("prefix")) {
@@ -252,13 +278,15 @@
 		slices.Reverse(events)
 		waitIfSilent(r)
 		if len(events) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			send(events, asOf)
 			return
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-timeout:
-			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			send(events, asOf)
 			return
 		case <-r.Context().Done():
 			return
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -27,6 +27,7 @@
 	headerNotRun   = wire["notRun"]
 	headerLoad     = wire["load"]
 	headerInstance = wire["instance"]
+	headerTenant   = wire["tenant"]
 )
 
 func readNames() map[string]string {
