edge: an instance serves callers although its own entry is missing

Callers got 503 from an instance, from its directory and for every request with a key, as soon as the store held no entry of any instance, although it was alive and in touch. Callers in a place whose only instance lacked its entry were sent elsewhere.

Cause: the list of registered instances was taken for the list of live ones. The directory returned nothing from an empty list, and requests with a key needed at least one entry, because the shares of rate limits depend on their number.

Change: once the list has been received, even an empty one, the directory adds the instance itself unless it is stopping; it is left out as before while the store has not confirmed the intent and another instance is there. The shares of rates and retries count the instance itself too, so they are smaller, never larger, than before. Only teams with a rate limit are still refused while no instance is registered: nothing tells then how many share the limit, and full shares would break it. Owners of limits and cold targets and leaders of the relay still go by the entries, which others see too.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,7 @@
 // Edge is one edge instance.
 type Edge struct {
 	settings settings.Edge
+	self     roster.Instance
 	logger   *zap.Logger
 	state    *belief.State
 	pool     *target.Pool
@@ -111,11 +113,13 @@
 	retryBudget := allowance.NewRetryBudget(allowance.RetryPolicy{
 		Ratio: s.Bounds.RetryRatio * retryRatioFraction, Reserve: s.Bounds.RetryReserve * retryReserveFraction,
 	})
-	state := belief.New(logger, boottime.Now, func(n int) {
+	localPlace := roster.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
+	self := roster.Instance{ID: s.Instance.ID, Caller: s.Listen.Caller, Peer: s.Listen.Peer, Place: localPlace}
+	state := belief.New(logger, boottime.Now, func(registered []roster.Instance) {
+		n := len(withSelf(registered, self))
 		rateLimiter.SetInstances(n)
 		retryBudget.SetInstances(n)
 	})
-	localPlace := roster.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
 	origins := make([]roster.Place, 0, len(s.FailureDomains))
 	for domain, region := range s.FailureDomains {
 		origins = append(origins, roster.Place{Region: region, FailureDomain: domain})
@@ -130,7 +134,7 @@
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{
-		settings: s, logger: logger, state: state, pool: target.NewPool(), crashes: crash.NewTally(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(),
+		settings: s, self: self, logger: logger, state: state, pool: target.NewPool(), crashes: crash.NewTally(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(),
 	}
 	e.broadcaster = neighbor.New(neighbor.Config{
 		Self: s.Instance.ID, Place: localPlace, State: state, Loads: loads, Send: peerrouter.SendLoads(e.peerPool), Logger: logger,
@@ -194,17 +198,28 @@
 	TTL time.Duration
 }
 
+// withSelf returns the registered instances and this one, which is alive although it may not be registered.
+func withSelf(registered []roster.Instance, self roster.Instance) []roster.Instance {
+	if slices.ContainsFunc(registered, func(i roster.Instance) bool { return i.ID == self.ID }) {
+		return registered
+	}
+	return append(slices.Clip(registered), self)
+}
+
 // Locate returns the instances for a caller at a place: those in its failure domain, or if there are none those in its
 // region, or else all. It leaves out this instance if it is stopping or not confirmed by the store, unless there is no
-// other.
+// other. It returns no instance until the list of registered instances has been received.
 func (e *Edge) Locate(place roster.Place) LookupResult {
-	view := e.state.View()
+	known := e.state.View().Instances
+	if known != nil && !e.leaving.Load() {
+		known = withSelf(known, e.self)
+	}
 	confirmed := e.state.SinceConfirmed() <= e.confirmTimeout()
 	usable := func(i roster.Instance) bool {
 		return i.ID != e.settings.Instance.ID || (!e.leaving.Load() && confirmed)
 	}
 	var inDomain, inRegion, all []roster.Instance
-	for _, i := range view.Instances {
+	for _, i := range known {
 		if !usable(i) {
 			continue
 		}
@@ -217,7 +232,7 @@
 		}
 	}
 	result := LookupResult{TTL: e.settings.Stop.LookupTTL}
-	for _, list := range [][]roster.Instance{inDomain, inRegion, all, view.Instances} {
+	for _, list := range [][]roster.Instance{inDomain, inRegion, all, known} {
 		if len(list) > 0 {
 			result.Instances = list
 			break
--- a/core/services/belief/belief.go
+++ b/core/services/belief/belief.go
@@ -26,7 +26,8 @@
 	Restored map[string]time.Duration
 	// Targets maps each service to all its targets, including leaving ones, sorted by ID.
 	Targets map[string][]roster.Target
-	// Instances is sorted by ID and includes this instance once it is registered.
+	// Instances holds the registered instances, sorted by ID. It is nil until the first list is received, and lacks this instance
+	// until it is registered.
 	Instances []roster.Instance
 	// Generation increases with every change of targets or evacuations.
 	Generation uint64
@@ -46,9 +47,9 @@
 	logger *zap.Logger
 	// now returns the boot time.
 	now func() time.Duration
-	// onInstanceCount is called with the number of known instances whenever their list changes.
-	onInstanceCount func(n int)
-	view            atomic.Pointer[View]
+	// onInstances is called with the registered instances whenever their list changes.
+	onInstances func([]roster.Instance)
+	view        atomic.Pointer[View]
 	// confirmedAt is the boot time at which the latest request to the store with an applied response was sent.
 	confirmedAt atomic.Int64
 
@@ -60,9 +61,10 @@
 }
 
 // New returns an empty State. now returns the boot time; a clock that stops while the machine is suspended would make
-// outdated knowledge look recent. onInstanceCount is called with the number of instances whenever their list changes.
-func New(logger *zap.Logger, now func() time.Duration, onInstanceCount func(n int)) *State {
-	s := &State{logger: logger, now: now, onInstanceCount: onInstanceCount, targets: map[string]roster.Target{}}
+// outdated knowledge look recent. onInstances is called with the registered instances whenever their list changes; it must not
+// change the list.
+func New(logger *zap.Logger, now func() time.Duration, onInstances func([]roster.Instance)) *State {
+	s := &State{logger: logger, now: now, onInstances: onInstances, targets: map[string]roster.Target{}}
 	s.confirmedAt.Store(int64(neverConfirmed))
 	s.view.Store(&View{})
 	return s
@@ -196,21 +198,24 @@
 	s.view.Store(&next)
 }
 
-// SetInstances replaces the known instances. It sorts the slice in place.
+// SetInstances replaces the registered instances. It sorts the slice in place.
 func (s *State) SetInstances(instances []roster.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slices.SortFunc(instances, func(a, b roster.Instance) int { return strings.Compare(a.ID, b.ID) })
 	next := *s.view.Load()
-	if slices.Equal(next.Instances, instances) {
+	if next.Instances != nil && slices.Equal(next.Instances, instances) {
 		return
 	}
+	if instances == nil {
+		instances = []roster.Instance{}
+	}
 	ids := make([]string, 0, len(instances))
 	for _, i := range instances {
 		ids = append(ids, i.ID)
 	}
-	s.logger.Info("list of known instances changed", zap.Strings("instances", ids))
+	s.logger.Info("list of registered instances changed", zap.Strings("instances", ids))
 	next.Instances = instances
 	s.view.Store(&next)
-	s.onInstanceCount(len(instances))
+	s.onInstances(instances)
 }
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -252,9 +252,10 @@
 }
 
 // authorize determines the team of the API key. Keys are accepted only while contact with the store is recent enough,
-// as a key may have been revoked since the last contact.
+// as a key may have been revoked since the last contact. Teams with a rate limit are refused while no instance is known to be
+// registered, as nothing tells how many instances share the limit.
 func (f *Forwarder) authorize(c *call) *refusal.Refusal {
-	if age := f.State.SinceConfirmed(); age > f.Policy.ConfirmTimeout || len(c.view.Instances) == 0 {
+	if f.State.SinceConfirmed() > f.Policy.ConfirmTimeout {
 		return refusal.New(http.StatusServiceUnavailable, refusal.Unconfirmed,
 			"this instance has lost contact with the store").WithRetryAfter(retryAfterUnready)
 	}
@@ -265,6 +266,10 @@
 	if !ok {
 		return refusal.New(http.StatusUnauthorized, refusal.UnknownKey, "this key does not exist or was withdrawn")
 	}
+	if team.Rate > 0 && len(c.view.Instances) == 0 {
+		return refusal.New(http.StatusServiceUnavailable, refusal.Unconfirmed,
+			"this instance does not know the other instances, which share the rate limit").WithRetryAfter(retryAfterUnready)
+	}
 	c.team = team
 	if len(team.HomeRegions) > 0 {
 		c.permittedRegions = intersect(c.permittedRegions, team.HomeRegions)
