forward: a stopping instance starts no attempt that its end may cut off

Reported by another operator: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer, among them requests that must not be repeated (LOST). It could happen here in three ways.

Cause: the instance decided by the time at which the head of a request had arrived, once. A request whose head came in the first 0.48 of the grace period and whose body came later was passed on at any time, and so was each further attempt of a request that a target had refused or broken off. A deadline in the last 40 ms before the end was accepted, although a response is awaited for 40 ms longer.

Ruled out: requests that arrive whole after 0.48 of the grace period, on new and on kept connections, with short, long and no time limits (refused, or they end in time); those that were started early on their connection (not started during a stop); the standalone product, whose stop waits for its requests without a bound of its own.

Change: the check is made by the present time before each attempt, also for retries, and counts the margin of the response. A request that has not run is refused as such and at once, so the caller can use another instance; one that may have run gets 502.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -79,6 +79,9 @@
 // there must be no further attempt, ok is false, and refused is the response to a request that has not run, if there is a
 // particular one.
 func (f *Forwarder) nextTarget(c *call, sentCount int) (choice placement.Choice, refused *refusal.Refusal, ok bool) {
+	if refused := f.refuseStopping(c); refused != nil {
+		return placement.Choice{}, refused, false
+	}
 	if f.isCrashing(c) {
 		return placement.Choice{}, f.refuseCrashing(c), false
 	}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -100,17 +100,29 @@
 	shutdown atomic.Pointer[shutdown]
 }
 
-// shutdown says which requests a stopping instance refuses.
+// shutdown says which requests a stopping instance sends to targets.
 type shutdown struct {
-	// Requests that arrive after refuseAfter and have a deadline after end are refused.
+	// After refuseAfter, no attempt is started that may last until end, when the connections of callers are closed.
 	refuseAfter, end time.Time
 }
 
-// BeginShutdown starts to refuse requests that arrive after refuseAfter and have a deadline after end.
+// BeginShutdown prevents that attempts are started after refuseAfter for requests whose deadline allows them to last until end.
 func (f *Forwarder) BeginShutdown(refuseAfter, end time.Time) {
 	f.shutdown.Store(&shutdown{refuseAfter: refuseAfter, end: end})
 }
 
+// refuseStopping returns the refusal of a request that the shutdown may cut off if it is sent to a target now, and nil for one
+// that it cannot. What counts is the present time and not that of the arrival: the body may have arrived slowly, and earlier
+// attempts may have taken long.
+func (f *Forwarder) refuseStopping(c *call) *refusal.Refusal {
+	s := f.shutdown.Load()
+	if s == nil || !time.Now().After(s.refuseAfter) || !c.deadline.Add(responseMargin).After(s.end) {
+		return nil
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.Leaving,
+		"this instance is stopping; use another one").WithRetryAfter(minRetryAfter)
+}
+
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
 	return &Forwarder{Config: config, splitter: newWeightedSplitter()}
@@ -223,9 +235,8 @@
 	if c.Timeout > 0 && c.Timeout < route.Timeout {
 		c.deadline = c.Arrived.Add(c.Timeout)
 	}
-	if s := f.shutdown.Load(); s != nil && c.Arrived.After(s.refuseAfter) && c.deadline.After(s.end) {
-		return refusal.New(http.StatusServiceUnavailable, refusal.Leaving,
-			"this instance is stopping; use another one").WithRetryAfter(minRetryAfter)
+	if refused := f.refuseStopping(c); refused != nil {
+		return refused
 	}
 	if limit := c.view.Intent.Limits.BodyBytes; limit > 0 && c.Length > limit {
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
