platform: a late crash record no longer blocks a request that was completed

Callers could get 503 for one request, for up to ten minutes, although a target had completed it in the meantime.

The first write of a crash record expects that there is none. If its answer is lost, it is written again; if the request is then completed and the record removed, the condition of the first write holds again, and the store may carry it out and bring the deaths back.

Change: the record of a completed request is kept without deaths until its lease ends, so that no earlier write finds its condition fulfilled. The other writes were checked by reading: updates of records and the fleet record, the change log and the archive of the standalone product expect a revision above zero that never comes back, or resolve a lost answer before they go on; leases that are created late have no keys; renewals and revocations that come late concern one lease, which this program uses for nothing else.

Instances of an earlier version ignore the new records with a warning and keep the deaths that they know until they learn of later ones.

TestLateCrashRecordStaysCompleted failed for 8 of 12 delays before and passes now; the model test of the tally has records that end; all tests of crash, forward and front and those of platform about crashes, late and lost writes pass with the race detector.

--- a/core/services/crash/tally.go
+++ b/core/services/crash/tally.go
@@ -27,7 +27,7 @@
 
 // Record is what the store holds of a request under which targets have died.
 type Record struct {
-	// Deaths is not empty.
+	// Deaths is empty if a target has completed the request since the last death.
 	Deaths []Death
 	// Revision is the store's revision of the record.
 	Revision uint64
@@ -36,7 +36,7 @@
 // Update is a change of the record of a fingerprint that the store does not have yet.
 type Update struct {
 	Fingerprint Fingerprint
-	// Deaths is the new list of deaths. Empty removes the record, since a target has completed the request.
+	// Deaths is the new list of deaths; empty if a target has completed the request.
 	Deaths []Death
 	// Revision is the store's revision of the record that the update replaces; zero if there is none.
 	Revision uint64
@@ -62,7 +62,7 @@
 	stored Record
 	// pending holds deaths that this instance has seen and the store does not have yet.
 	pending []Death
-	// completed is true if a target has completed the request since the last death and the store still has a record.
+	// completed is true if a target has completed the request since the last death and the record in the store has deaths.
 	completed bool
 	// changedAt is when the last death was recorded or learned of.
 	changedAt time.Time
@@ -134,14 +134,13 @@
 	t.signal()
 }
 
-// Learn applies a record of the store unless a later one is known. A record without deaths means that there is none any more
-// at its revision.
+// Learn applies a record of the store unless a later one is known.
 func (t *Tally) Learn(f Fingerprint, r Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.lookup(f)
 	if len(r.Deaths) == 0 {
-		t.learnRemoval(f, s, r.Revision)
+		t.clear(f, s, r)
 		return
 	}
 	if s == nil {
@@ -157,12 +156,22 @@
 	s.pending = slices.DeleteFunc(s.pending, func(d Death) bool { return slices.Contains(r.Deaths, d) })
 }
 
-// learnRemoval applies the removal of a record. The caller must hold mu.
-func (t *Tally) learnRemoval(f Fingerprint, s *tallied, revision uint64) {
-	if s == nil || revision < s.stored.Revision {
+// LearnRemoval applies that the store has no record at a revision.
+func (t *Tally) LearnRemoval(f Fingerprint, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.lookup(f); s != nil && revision >= s.stored.Revision {
+		t.clear(f, s, Record{})
+	}
+}
+
+// clear replaces the known record by one without deaths, or by the zero value for none, unless it is older. s is nil if nothing
+// is known of the fingerprint. The caller must hold mu.
+func (t *Tally) clear(f Fingerprint, s *tallied, r Record) {
+	if s == nil || (r.Revision != 0 && r.Revision < s.stored.Revision) {
 		return
 	}
-	s.stored, s.completed = Record{}, false
+	s.stored, s.completed = r, false
 	if len(s.pending) == 0 {
 		t.remove(f)
 	}
--- a/core/services/crash/tally_test.go
+++ b/core/services/crash/tally_test.go
@@ -33,13 +33,11 @@
 			case current.Revision != u.Revision && exists:
 				t.Learn(u.Fingerprint, current)
 			case current.Revision != u.Revision:
-				t.Learn(u.Fingerprint, crash.Record{Revision: u.Revision})
+				t.LearnRemoval(u.Fingerprint, u.Revision)
 			default:
 				s.revision++
 				next := crash.Record{Deaths: u.Deaths, Revision: s.revision}
-				if s.records[u.Fingerprint] = next; len(u.Deaths) == 0 {
-					delete(s.records, u.Fingerprint)
-				}
+				s.records[u.Fingerprint] = next
 				t.Learn(u.Fingerprint, next)
 			}
 		}
@@ -49,11 +47,19 @@
 // deliver tells an instance the current record of each fingerprint, as a list of the store does.
 func (s *sharedRecords) deliver(t *crash.Tally, all ...crash.Fingerprint) {
 	for _, f := range all {
-		record, ok := s.records[f]
-		if !ok {
-			record.Revision = s.revision
+		if record, ok := s.records[f]; ok {
+			t.Learn(f, record)
+		} else {
+			t.LearnRemoval(f, s.revision)
 		}
-		t.Learn(f, record)
+	}
+}
+
+// forget removes the record of a fingerprint that has no deaths, as its lease has ended.
+func (s *sharedRecords) forget(f crash.Fingerprint) {
+	if r, ok := s.records[f]; ok && len(r.Deaths) == 0 {
+		s.revision++
+		delete(s.records, f)
 	}
 }
 
@@ -79,8 +85,9 @@
 				rapid.SampledFrom(tallies).Draw(t, "instance").RecordCompleted(f)
 				completed[f] = true
 			},
-			"write": func(t *rapid.T) { store.write(rapid.SampledFrom(tallies).Draw(t, "instance")) },
-			"learn": func(t *rapid.T) { store.deliver(rapid.SampledFrom(tallies).Draw(t, "instance"), fingerprints...) },
+			"write":  func(t *rapid.T) { store.write(rapid.SampledFrom(tallies).Draw(t, "instance")) },
+			"learn":  func(t *rapid.T) { store.deliver(rapid.SampledFrom(tallies).Draw(t, "instance"), fingerprints...) },
+			"forget": func(t *rapid.T) { store.forget(rapid.SampledFrom(fingerprints).Draw(t, "fingerprint")) },
 			"write and learn everywhere": func(t *rapid.T) {
 				for range 3 {
 					for _, tally := range tallies {
