--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -106,14 +106,14 @@
 	refuseAfter, end time.Time
 }
 
-// BeginShutdown prevents that attempts are started after refuseAfter for requests whose deadline allows them to last until end.
+// BeginShutdown keeps requests whose deadline lets them last until end from being sent to targets after refuseAfter.
 func (f *Forwarder) BeginShutdown(refuseAfter, end time.Time) {
 	f.shutdown.Store(&shutdown{refuseAfter: refuseAfter, end: end})
 }
 
-// refuseStopping returns the refusal of a request that the shutdown may cut off if it is sent to a target now, and nil for one
-// that it cannot. What counts is the present time and not that of the arrival: the body may have arrived slowly, and earlier
-// attempts may have taken long.
+// refuseStopping returns a refusal if the shutdown may cut off the request when it is sent to a target now, and nil otherwise. It
+// goes by the present time and not by that of the arrival: the body may have arrived slowly, and earlier attempts may have
+// taken long.
 func (f *Forwarder) refuseStopping(c *call) *refusal.Refusal {
 	s := f.shutdown.Load()
 	if s == nil || !time.Now().After(s.refuseAfter) || !c.deadline.Add(responseMargin).After(s.end) {
