--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -114,7 +114,7 @@
 		Ratio: s.Bounds.RetryRatio * retryRatioFraction, Reserve: s.Bounds.RetryReserve * retryReserveFraction,
 	})
 	localPlace := roster.Place{Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain}
-	self := roster.Instance{ID: s.Instance.ID, Caller: s.Listen.Caller, Peer: s.Listen.Peer, Place: localPlace}
+	self := roster.Instance{ID: s.Instance.ID, Caller: s.Listen.Caller, Peer: s.Listen.Peer, Place: localPlace, Capacity: s.Capacity.Relative()}
 	state := belief.New(logger, boottime.Now, func(registered []roster.Instance) {
 		n := len(withSelf(registered, self))
 		rateLimiter.SetInstances(n)
--- a/core/models/roster/roster.go
+++ b/core/models/roster/roster.go
@@ -49,4 +49,6 @@
 	// Caller is the address for callers, Peer the address for other instances; Peer is empty if they cannot call it.
 	Caller string
 	Peer   string
+	// Capacity is the relative capacity for the requests of callers; zero if it is unknown.
+	Capacity float64
 }
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -17,6 +17,7 @@
 	FailureDomains map[string]string `yaml:"failure-domains"`
 	Store          EdgeStore         `yaml:"store"`
 	Memory         EdgeMemory        `yaml:"memory"`
+	Capacity       EdgeCapacity      `yaml:"capacity"`
 	Stop           EdgeStop          `yaml:"stop"`
 	Bounds         EdgeBounds        `yaml:"bounds"`
 	Placement      EdgePlacement     `yaml:"placement"`
@@ -64,6 +65,24 @@
 	CollectorPercent int `yaml:"collector-percent"`
 }
 
+// EdgeCapacity describes the machine of an instance. Zeros mean unknown.
+type EdgeCapacity struct {
+	// CPUShare is the share of each of its cores that the process may use, from 0 to 1.
+	CPUShare float64 `yaml:"cpu-share"`
+	Cores    float64 `yaml:"cores"`
+	// LinkMbps is the rate of the machine's link in megabits per second.
+	LinkMbps float64 `yaml:"link-mbps"`
+}
+
+// linkMbpsPerCore is the rate of a link that carries the requests which one core can handle: a few kilobytes each, with a
+// quarter of a millisecond of processor time.
+const linkMbpsPerCore = 250
+
+// Relative returns the capacity for the requests of callers in cores, bounded by the link; zero if it is unknown.
+func (c EdgeCapacity) Relative() float64 {
+	return min(c.CPUShare*c.Cores, c.LinkMbps/linkMbpsPerCore)
+}
+
 // EdgeStop holds the times of the shutdown of an instance.
 type EdgeStop struct {
 	// Grace is the time between the stop signal and the forced end of the process; Margin is the part of it that is kept in
@@ -221,6 +240,9 @@
 }
 
 func (e Edge) checkNumbers(c *checker) {
+	c.require(e.Capacity.CPUShare >= 0 && e.Capacity.CPUShare <= 1, "capacity.cpu-share", "must be from 0 to 1")
+	c.require(e.Capacity.Cores >= 0, "capacity.cores", "must not be negative")
+	c.require(e.Capacity.LinkMbps >= 0, "capacity.link-mbps", "must not be negative")
 	c.require(e.Memory.LimitMB > 0, "memory.limit-mb", "must be a positive number of megabytes")
 	c.require(e.Memory.LimitFraction > 0 && e.Memory.LimitFraction <= 1, "memory.limit-fraction", "must be above 0, at most 1")
 	for _, n := range []struct {
