relay, platform: large leaders, and restarts that list from another instance

Each instance that started listed the intent, the targets and the instances from the store, which charges each page, and each nine instances of a failure domain had a leader of their own.

Leaders are now the instances with the largest capacity, and serve up to 50 followers for each unit of it: a large instance has 20 times the link of a small one. An instance that starts lists the intent and the targets from the first-ranked other instance of its failure domain, and from the store if that fails. It cannot form a cycle: nobody follows an instance that is not registered, and one that has not listed its keys answers polls with Lost.

--- a/core/services/relay/log.go
+++ b/core/services/relay/log.go
@@ -87,6 +87,13 @@
 	l.confirmedAt, l.revision = max(l.confirmedAt, sentAt), max(l.revision, revision)
 }
 
+// isConfirmed reports whether the keys have been listed.
+func (l *log) isConfirmed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmedAt != 0
+}
+
 // since returns the response with the changes that the sender of the request does not have, and a channel that is
 // closed on the next change. receivedAt is the boot time at which the request was received.
 func (l *log) since(request PollRequest, receivedAt time.Duration) (PollResponse, <-chan struct{}) {
--- a/core/services/relay/relay.go
+++ b/core/services/relay/relay.go
@@ -7,6 +7,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -27,6 +28,9 @@
 	// maxFollowers is the maximum average number of followers per leader. A leader sends every change to each of them: a
 	// change of the intent has a few hundred kilobytes, and links carry 10 Mbit/s.
 	maxFollowers = 8
+	// followersPerCapacity is the average number of followers per leader and unit of its capacity, if that is more than
+	// maxFollowers. A capacity of one stands for a link of 250 Mbit/s, so each follower has as much of it as of a small one.
+	followersPerCapacity = 50
 	// leaderRetryDelay is how long an instance polls the store directly after its leader has failed.
 	leaderRetryDelay = 3 * time.Second
 )
@@ -150,7 +154,44 @@
 	if _, known := members[r.Self]; !known {
 		return nil, members
 	}
-	return rendezvous.Owners([]byte(r.Place.FailureDomain), ids, (len(ids)+maxFollowers)/(maxFollowers+1)), members
+	return r.selectLeaders(ids, members), members
+}
+
+// selectLeaders returns the leaders of a failure domain: the instances with the largest capacity, among equal ones those that
+// rendezvous hashing ranks first, and as many as can serve all others. The order in which instances rank does not depend on
+// which of them are known, so that followers never form a cycle.
+func (r *Relay) selectLeaders(ids []string, members map[string]roster.Instance) []string {
+	ranked := rendezvous.Owners([]byte(r.Place.FailureDomain), ids, len(ids))
+	slices.SortStableFunc(ranked, func(a, b string) int { return cmp.Compare(members[b].Capacity, members[a].Capacity) })
+	served := 0
+	for n, id := range ranked {
+		served += 1 + max(maxFollowers, int(followersPerCapacity*members[id].Capacity))
+		if served >= len(ranked) {
+			return ranked[:n+1]
+		}
+	}
+	return ranked
+}
+
+// firstOther returns the first-ranked instance of the failure domain besides this one; false if there is none. registered is
+// true if this instance is registered.
+func (r *Relay) firstOther() (first roster.Instance, registered, ok bool) {
+	var ids []string
+	members := map[string]roster.Instance{}
+	for _, i := range r.State.View().Instances {
+		registered = registered || i.ID == r.Self
+		if i.Place == r.Place && i.Peer != "" && i.ID != r.Self {
+			ids = append(ids, i.ID)
+			members[i.ID] = i
+		}
+	}
+	if len(ids) == 0 {
+		return roster.Instance{}, registered, false
+	}
+	first = members[r.selectLeaders(ids, members)[0]]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return first, registered, first.ID != r.failedLeader || !time.Now().Before(r.retryLeaderAt)
 }
 
 // pollLeader polls the leader, and logs when this instance switches between the leader and the store.
--- a/core/services/relay/topic.go
+++ b/core/services/relay/topic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"medlarpond.dev/core/models/roster"
 	"medlarpond.dev/core/modules/boottime"
 )
 
@@ -28,14 +29,24 @@
 
 // HasLeader reports whether there is a leader to poll instead of the store.
 func (t *Topic) HasLeader() bool {
-	_, ok := t.relay.Leader()
+	_, ok := t.leader()
 	return ok
 }
 
+// leader returns the instance to poll; false if the store must be polled instead. No other instance follows one that is not
+// registered or has not listed the keys, so in both cases any other instance may be polled without forming a cycle.
+func (t *Topic) leader() (roster.Instance, bool) {
+	if leader, ok := t.relay.Leader(); ok {
+		return leader, true
+	}
+	other, registered, ok := t.relay.firstOther()
+	return other, ok && (!registered || !t.log.isConfirmed())
+}
+
 // Poll polls the leader for changes after revision, up to which this instance knows every change. It returns false if
 // the store must be polled instead. It must not be called concurrently.
 func (t *Topic) Poll(ctx context.Context, revision uint64) (PollResponse, bool) {
-	leader, ok := t.relay.Leader()
+	leader, ok := t.leader()
 	if !ok {
 		return PollResponse{}, false
 	}
