forward: a planned stop answers the requests that are still at targets before it closes connections

Ruled out that the target was at work: it was silent for 3 s.

Attempts now end 0.1 s before connections are closed, and the caller gets 502.

--- a/core/routers/front/shutdown_test.go
+++ b/core/routers/front/shutdown_test.go
@@ -105,3 +105,18 @@
 		}
 	}
 }
+
+// TestRequestAtUnresponsiveTargetIsAnsweredBeforeShutdownEnds guards against callers whose connections are closed without an answer
+// at the end of a planned stop, because a target never responds.
+func TestRequestAtUnresponsiveTargetIsAnsweredBeforeShutdownEnds(t *testing.T) {
+	for method, path := range map[string]string{http.MethodGet: "/read/x", http.MethodPost: "/write/x"} {
+		s := newInstance(t, 1, func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+		s.keepConfirmed(t)
+		s.beginShutdown()
+		end := time.Now().Add(shutdownEnd)
+		response, text := s.send(t, method, path, "")
+		if response == nil || response.StatusCode != http.StatusBadGateway || !time.Now().Before(end) {
+			t.Errorf("%s: got response %v (%s) %v before the end of the shutdown, want 502 before it", method, response, text, time.Until(end))
+		}
+	}
+}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -67,6 +67,9 @@
 	minAttemptTime = 25 * time.Millisecond
 	// responseMargin is how long after the deadline a target's response is still accepted.
 	responseMargin = 40 * time.Millisecond
+	// answerMargin is how long before the end of a shutdown the requests that are still at targets are answered, so that their
+	// callers get an answer before the connections are closed.
+	answerMargin = 100 * time.Millisecond
 	// Retry-After values for callers.
 	retryAfterUnready  = 300 * time.Millisecond
 	retryAfterOverload = 400 * time.Millisecond
@@ -99,6 +102,9 @@
 	responseHeaders headerNames
 	// shutdown is nil until the instance starts to stop.
 	shutdown atomic.Pointer[shutdown]
+	// attempts is done when a shutdown ends all attempts, by calling endAttempts.
+	attempts    context.Context
+	endAttempts context.CancelFunc
 	// history counts the attempts of requests by historyKey, which uses historySeed.
 	history     *crash.History
 	historySeed maphash.Seed
@@ -113,8 +119,18 @@
 }
 
 // BeginShutdown keeps requests whose deadline lets them last until end from being sent to targets after refuseAfter.
+// Requests that are still at a target answerMargin before end are answered without it.
 func (f *Forwarder) BeginShutdown(refuseAfter, end time.Time) {
 	f.shutdown.Store(&shutdown{refuseAfter: refuseAfter, end: end})
+	time.AfterFunc(time.Until(end)-answerMargin, f.endAttempts)
+}
+
+// boundByShutdown returns a context that also ends when a shutdown ends all attempts, and a function that must be called once the
+// attempts have ended. It does not end the context then, as a response may still be streamed.
+func (f *Forwarder) boundByShutdown(ctx context.Context) (bounded context.Context, release func()) {
+	bounded, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(f.attempts, cancel)
+	return bounded, func() { stop() }
 }
 
 // refuseStopping returns a refusal if the shutdown may cut off the request when it is sent to a target now, and nil otherwise. It
@@ -131,8 +147,10 @@
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
+	attempts, endAttempts := context.WithCancel(context.Background())
 	return &Forwarder{
 		Config: config, splitter: newWeightedSplitter(), history: crash.NewHistory(), historySeed: maphash.MakeSeed(),
+		attempts: attempts, endAttempts: endAttempts,
 	}
 }
 
@@ -213,7 +231,9 @@
 	refused := f.admit(c)
 	var response *target.Response
 	if refused == nil {
-		response, refused = f.tryTargets(ctx, c)
+		bounded, release := f.boundByShutdown(ctx)
+		response, refused = f.tryTargets(bounded, c)
+		release()
 	}
 	result := Result{Response: response, Refusal: refused, Team: c.team.Name}
 	if c.route != nil {
