edge: lookups name instances by capacity

Ruled out: fewer names by number, which leaves it to chance which machines remain.

Lookups now name the instances of a failure domain with at least a quarter of the largest capacity there, two at least.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -206,8 +206,21 @@
 	return append(slices.Clip(registered), self)
 }
 
+// serving returns the instances to which callers of their failure domains are directed.
+func serving(instances []roster.Instance) []roster.Instance {
+	var found []roster.Instance
+	seen := map[roster.Place]bool{}
+	for _, i := range instances {
+		if !seen[i.Place] {
+			seen[i.Place] = true
+			found = append(found, roster.Serving(instances, i.Place)...)
+		}
+	}
+	return found
+}
+
 // Locate returns the instances for a caller at a place: those in its failure domain, or if there are none those in its
-// region, or else all. It leaves out this instance if it is stopping or not confirmed by the store, unless there is no
+// region, or else all, in each failure domain only those to which callers are directed. It leaves out this instance if it is stopping or not confirmed by the store, unless there is no
 // other. It returns no instance until the list of registered instances has been received.
 func (e *Edge) Locate(place roster.Place) LookupResult {
 	known := e.state.View().Instances
@@ -218,11 +231,13 @@
 	usable := func(i roster.Instance) bool {
 		return i.ID != e.settings.Instance.ID || (!e.leaving.Load() && confirmed)
 	}
-	var inDomain, inRegion, all []roster.Instance
+	var candidates, inDomain, inRegion, all []roster.Instance
 	for _, i := range known {
-		if !usable(i) {
-			continue
+		if usable(i) {
+			candidates = append(candidates, i)
 		}
+	}
+	for _, i := range serving(candidates) {
 		all = append(all, i)
 		if i.Place.Region == place.Region {
 			inRegion = append(inRegion, i)
--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -63,3 +63,31 @@
 		}
 	}
 }
+
+// TestLocateNamesLargeInstances guards against callers being directed to machines that are much smaller than others of their failure
+// domain, and against lookups that name nobody else when one of two large instances cannot be used.
+func TestLocateNamesLargeInstances(t *testing.T) {
+	place := roster.Place{Region: "east", FailureDomain: "east-1"}
+	e := edge.New(settings.Edge{
+		Instance: settings.Instance{ID: "self", Region: "east", FailureDomain: "east-1"},
+		Capacity: settings.EdgeCapacity{CPUShare: 0.8, Cores: 1, LinkMbps: 200},
+		Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second},
+	}, forward.Headers{}, zap.NewNop())
+	e.State().SetInstances([]roster.Instance{
+		{ID: "large", Place: place, Capacity: 0.8}, {ID: "self", Place: place, Capacity: 0.8},
+		{ID: "small-1", Place: place, Capacity: 0.04}, {ID: "small-2", Place: place, Capacity: 0.05},
+	})
+	locate := func() (ids []string) {
+		for _, i := range e.Locate(place).Instances {
+			ids = append(ids, i.ID)
+		}
+		return ids
+	}
+	if got, want := locate(), []string{"large", "small-2"}; !slices.Equal(got, want) {
+		t.Errorf("with a large instance unconfirmed: got %v, want %v", got, want)
+	}
+	e.State().Confirm(boottime.Now())
+	if got, want := locate(), []string{"large", "self"}; !slices.Equal(got, want) {
+		t.Errorf("with both confirmed: got %v, want %v", got, want)
+	}
+}
