allowance: a restarted process gets only what accrues; pace sudden overloads at once

A new process could use 0.3 of its share at once, and the processes that were killed had used their whole windows within the first second of the overload.

Ruled out: a new process that admits nothing for a window, which would refuse teams that are within their rates for 5 s after each restart; a token bucket for all, which refuses bursts that small fleets serve today.

Change: a new process gets what accrues since its start. A team that offers more in a second than its burst and 1.2 times its rate is paced at once, and what it got beyond its rate before counts against it. Resume and Admitted let a team move between the equal split and shared rates.

--- a/core/services/allowance/allowance.go
+++ b/core/services/allowance/allowance.go
@@ -26,11 +26,12 @@
 }
 
 const (
-	// initialWindowFraction is the fraction of its window limit that a new process may use immediately. The rest
-	// becomes available over one window, as the previous process may have used the limit just before the restart.
-	initialWindowFraction = 0.3
 	// overRateRatio is the ratio of offered requests to the window limit above which a team is paced.
 	overRateRatio = 1.5
+	// suddenRateRatio is the ratio of the requests offered within a second to a team's rate, beyond its burst, above which it is paced
+	// at once. Up to minSudden requests are never paced at once, as so few arrive together by chance.
+	suddenRateRatio = 1.2
+	minSudden       = 10
 	// overRateBurstFraction is the fraction of its burst that a paced team may use, as requests beyond its rate take
 	// capacity from other teams.
 	overRateBurstFraction = 0.2
@@ -44,14 +45,8 @@
 	mu sync.Mutex
 	// teams is keyed by team name.
 	teams map[string]*teamUsage
-	// counts holds observed instance counts, the latest last. Counts decrease strictly, times never decrease.
-	counts []countSample
-}
-
-type countSample struct {
-	instances int
-	// observedAt is when the count was observed, or replaced by a lower one.
-	observedAt time.Time
+	// instances is the number of instances, by the time since started.
+	instances PeakCount
 }
 
 // teamUsage tracks the requests of a team.
@@ -61,8 +56,13 @@
 	// offered is the number of requests, including refused ones, decaying linearly over a window; as of offeredAt.
 	offered   float64
 	offeredAt time.Time
+	// recent is like offered, decaying over a second.
+	recent float64
+	// resumedAt is when the equal split began to apply to the team again; zero if it has always applied.
+	resumedAt time.Time
 	// paceTokens is the level of a token bucket that spreads requests over the window while the team is far over its
-	// rate; as of offeredAt.
+	// rate; as of offeredAt. It is negative after more requests, which a process that is killed must not admit much faster than
+	// the rate: its successor does not know of them.
 	paceTokens float64
 }
 
@@ -75,25 +75,12 @@
 func (l *RateLimiter) SetInstances(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	for len(l.counts) > 0 && l.counts[len(l.counts)-1].instances <= n {
-		l.counts = l.counts[:len(l.counts)-1]
-	}
-	if len(l.counts) > 0 {
-		l.counts[len(l.counts)-1].observedAt = now
-	}
-	l.counts = append(l.counts, countSample{instances: max(n, 1), observedAt: now})
+	l.instances.Set(time.Since(l.started), max(n, 1))
 }
 
 // instanceCount returns the highest number of instances within the last GrowAfter.
 func (l *RateLimiter) instanceCount(now time.Time) float64 {
-	for len(l.counts) > 1 && now.Sub(l.counts[0].observedAt) > l.policy.GrowAfter {
-		l.counts = l.counts[1:]
-	}
-	if len(l.counts) == 0 {
-		return 1
-	}
-	return float64(l.counts[0].instances)
+	return float64(max(1, l.instances.Max(now.Sub(l.started), l.policy.GrowAfter)))
 }
 
 // Allow admits one request of a team. If it is refused, wait is the time until a request may be admitted again.
@@ -110,17 +97,26 @@
 		l.teams[t.Name] = usage
 	}
 	window := l.policy.Window
-	windowLimit, paceRate, burst := l.localLimits(t, now)
+	windowLimit, paceRate, burst := l.localLimits(t)
+	overRateLimit := overRateRatio * windowLimit
+	suddenLimit := max(minSudden, windowLimit-(window.Seconds()-suddenRateRatio)*paceRate)
+	if age := now.Sub(l.started); age < window {
+		// The previous process may have used its share just before the restart, so a new one gets only what accrues.
+		windowLimit = max(1, min(windowLimit, paceRate*age.Seconds()))
+	}
+	if since := now.Sub(usage.resumedAt); !usage.resumedAt.IsZero() && since < window {
+		windowLimit = min(windowLimit, paceRate*max(0, since.Seconds()))
+	}
 	if !known {
 		usage.paceTokens = burst
 	}
-	usage.paceTokens = min(burst, usage.paceTokens+paceRate*now.Sub(usage.offeredAt).Seconds())
-	usage.offered = 1 + usage.offered*max(0, 1-now.Sub(usage.offeredAt).Seconds()/window.Seconds())
+	elapsed := now.Sub(usage.offeredAt)
+	usage.paceTokens = min(burst, usage.paceTokens+paceRate*elapsed.Seconds())
+	usage.offered = 1 + usage.offered*max(0, 1-elapsed.Seconds()/window.Seconds())
+	usage.recent = 1 + usage.recent*max(0, 1-elapsed.Seconds())
 	usage.offeredAt = now
-	for len(usage.admitted) > 0 && now.Sub(usage.admitted[0]) > window {
-		usage.admitted = usage.admitted[1:]
-	}
-	if usage.offered > overRateRatio*windowLimit && usage.paceTokens < 1 {
+	l.dropOld(usage, now)
+	if (usage.offered > overRateLimit || usage.recent > suddenLimit) && usage.paceTokens < 1 {
 		return false, min(window, time.Duration((1-usage.paceTokens)/paceRate*float64(time.Second)))
 	}
 	if float64(len(usage.admitted))+1 > windowLimit {
@@ -130,19 +126,18 @@
 		return false, window - now.Sub(usage.admitted[0])
 	}
 	usage.admitted = append(usage.admitted, now)
-	usage.paceTokens = max(0, usage.paceTokens-1)
+	usage.paceTokens--
 	return true, 0
 }
 
 // localLimits returns this instance's window limit for a team, and the rate and burst of the token bucket that applies
 // when the team is far over its rate.
-func (l *RateLimiter) localLimits(t intent.Team, now time.Time) (windowLimit, paceRate, burst float64) {
-	n := l.instanceCount(now)
+func (l *RateLimiter) localLimits(t intent.Team) (windowLimit, paceRate, burst float64) {
+	n := l.instanceCount(time.Now())
 	tolerance := 1 + l.policy.Overrun
 	rate := t.Rate * tolerance
 	windowLimit = (rate*l.policy.Window.Seconds() + t.Burst*tolerance + l.policy.Slack) / n
-	fraction := min(1, initialWindowFraction+(1-initialWindowFraction)*now.Sub(l.started).Seconds()/l.policy.Window.Seconds())
-	return max(1, windowLimit*fraction), rate / n, max(1, overRateBurstFraction*t.Burst/n)
+	return max(1, windowLimit), rate / n, max(1, overRateBurstFraction*t.Burst/n)
 }
 
 // Refund undoes Allow for a request that certainly did not run.
@@ -154,3 +149,35 @@
 		usage.paceTokens++
 	}
 }
+
+// Resume starts the limit of a team anew at a time, before which other instances may have used this instance's share. In the window
+// after it the team gets only what accrues, as the whole limit may have been used just before.
+func (l *RateLimiter) Resume(team string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usage, known := l.teams[team]
+	if !known {
+		usage = &teamUsage{offeredAt: time.Now()}
+		l.teams[team] = usage
+	}
+	usage.resumedAt, usage.paceTokens = at, 0
+}
+
+// Admitted returns the number of requests of a team that were admitted in the last window.
+func (l *RateLimiter) Admitted(team string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usage, known := l.teams[team]
+	if !known {
+		return 0
+	}
+	l.dropOld(usage, time.Now())
+	return len(usage.admitted)
+}
+
+// dropOld removes the requests that were admitted before the last window.
+func (l *RateLimiter) dropOld(usage *teamUsage, now time.Time) {
+	for len(usage.admitted) > 0 && now.Sub(usage.admitted[0]) > l.policy.Window {
+		usage.admitted = usage.admitted[1:]
+	}
+}
--- a/core/services/allowance/allowance_test.go
+++ b/core/services/allowance/allowance_test.go
@@ -95,16 +95,7 @@
 		sendRequests(newFleet(), 20*time.Second)
 		time.Sleep(1200 * time.Millisecond)
 		sendRequests(newFleet(), 10*time.Second)
-		worst := 0
-		for i := range admitted {
-			count := 0
-			for _, at := range admitted[i:] {
-				if at.Sub(admitted[i]) <= window {
-					count++
-				}
-			}
-			worst = max(worst, count)
-		}
+		worst := worstWindow(admitted)
 		if float64(worst) > maxRequests(team) {
 			t.Errorf("got %d requests in a window around a restart, want at most %.1f", worst, maxRequests(team))
 		}
@@ -181,3 +172,84 @@
 		t.Errorf("got only %d retries for %d requests, want at least a tenth", retries, requests)
 	}
 }
+
+// TestRestartDoesNotRenewTheLimit guards against a share that is used twice: by a process that is killed while a team sends many times
+// its rate, and by its successor, which does not know what the process has admitted.
+func TestRestartDoesNotRenewTheLimit(t *testing.T) {
+	const n, killed = 7, 4
+	team := intent.Team{Name: "t", Rate: 120, Burst: 120}
+	for before := 100 * time.Millisecond; before < 9*time.Second; before += 300 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := make([]*allowance.RateLimiter, n)
+			start := func(i int) {
+				fleet[i] = allowance.New(policy)
+				fleet[i].SetInstances(n)
+			}
+			for i := range fleet {
+				start(i)
+			}
+			var admitted []time.Time
+			send := func(d time.Duration, first int) {
+				for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+					for _, a := range fleet[first:] {
+						if ok, _ := a.Allow(team); ok {
+							admitted = append(admitted, time.Now())
+						}
+					}
+				}
+			}
+			time.Sleep(2 * window)
+			send(before, 0)
+			send(500*time.Millisecond, killed)
+			for i := range killed {
+				start(i)
+			}
+			since := len(admitted)
+			send(6*time.Second, 0)
+			if got := worstWindow(admitted); float64(got) > maxRequests(team) {
+				t.Errorf("got %d requests in a window around a restart after %v, want at most %.0f", got, before, maxRequests(team))
+			}
+			if got := len(admitted) - since; got < 550 {
+				t.Errorf("got %d requests in 6 s after the restart, want at least 550", got)
+			}
+		})
+	}
+}
+
+// worstWindow returns the largest number of requests in a window.
+func worstWindow(admitted []time.Time) (worst int) {
+	first := 0
+	for i, at := range admitted {
+		for at.Sub(admitted[first]) > window {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return worst
+}
+
+// TestResumedLimitStartsEmpty guards against a team that uses its whole limit a second time as the equal split applies to it again: other
+// instances may have used the share just before.
+func TestResumedLimitStartsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		team := intent.Team{Name: "t", Rate: 100, Burst: 100}
+		a := allowance.New(policy)
+		a.SetInstances(10)
+		time.Sleep(2 * window)
+		a.Resume(team.Name, time.Now().Add(time.Second))
+		var admitted []time.Time
+		for range 600 {
+			if ok, _ := a.Allow(team); ok {
+				admitted = append(admitted, time.Now())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		// A tenth of the rate for 5 s, after the second in which nothing is admitted.
+		if got := len(admitted); got < 45 || got > 60 {
+			t.Errorf("got %d requests in 6 s, want about 53", got)
+		}
+		if got := admitted[0].Sub(admitted[len(admitted)-1]); got < -5*time.Second {
+			t.Errorf("the first request was admitted %v before the last one, want at most 5s", -got)
+		}
+	})
+}
