ratepool: instances share the rates of teams

Cause: each instance enforced an equal part of every rate. With 102 instances the part of a small team is less than a request in the window, and a team's callers are at few instances, so teams within their rates got 429.

Ruled out: unequal parts by demand through the store, which charges for each call and takes longer than a second; loans between pairs of instances, whose messages grow with the fleet.

Change: members delegate their parts to the collector of their failure domain, collectors to a root, by leases of a second that are counted from a stamp of the parent; tokens are drawn in the other direction. Where pooling does not apply the equal split stays. New settings rates.pooling and rates.min-part.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -29,6 +29,7 @@
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
+	"medlarpond.dev/core/services/ratepool"
 	"medlarpond.dev/core/services/relay"
 	"medlarpond.dev/core/services/target"
 	"medlarpond.dev/core/services/witness"
@@ -90,6 +91,8 @@
 	state    *belief.State
 	pool     *target.Pool
 	crashes  *crash.Tally
+	// rates shares the rate limits of teams with other instances.
+	rates *ratepool.Pool
 	// forwarder admits requests and sends them to targets; router handles the HTTP exchange with callers.
 	forwarder *forward.Forwarder
 	router    *front.Router
@@ -146,14 +149,10 @@
 	e.witness = witness.New(witness.Config{
 		Self: s.Instance.ID, State: state, Contact: witness.NewContact(boottime.Now), Ask: peerrouter.GetContact(e.peerPool), Logger: logger,
 	})
-	if err := errors.Join(
-		peerrouter.RegisterLoads(e.peerServer, loads.Merge), peerrouter.RegisterChanges(e.peerServer, e.relay.HandlePoll),
-		peerrouter.RegisterContact(e.peerServer, e.witness.Contact.Unbroken),
-	); err != nil {
-		logger.Error("failed to register the peer RPC methods", zap.Error(err))
-	}
+	e.rates = e.newRatePool(rateLimiter)
+	e.registerMethods(loads)
 	e.forwarder = forward.New(forward.Config{
-		State: state, Placement: chooser, Loads: loads, RateLimiter: rateLimiter, RetryBudget: retryBudget, Crashes: e.crashes, Pool: e.pool,
+		State: state, Placement: chooser, Loads: loads, Rates: e.rates, RetryBudget: retryBudget, Crashes: e.crashes, Pool: e.pool,
 		Headers: headers, Meter: e.meter, Logger: logger,
 		Policy: forward.Policy{
 			ConfirmTimeout: e.confirmTimeout(), MaxTries: s.Requests.MaxTries, UnsafeIdle: s.Requests.UnsafeIdle,
@@ -166,6 +165,32 @@
 	return e
 }
 
+// newRatePool returns the pool in which the instances share the rate limits; split is the equal split of teams that are not pooled.
+func (e *Edge) newRatePool(split *allowance.RateLimiter) *ratepool.Pool {
+	bounds := e.settings.Bounds
+	return ratepool.New(ratepool.Config{
+		Self: e.self, Now: boottime.Now, Draw: peerrouter.DrawRates(e.peerPool), Split: split, Meter: e.meter, Logger: e.logger,
+		View: func() ratepool.View {
+			v := e.state.View()
+			return ratepool.View{Instances: v.Instances, Intent: v.Intent}
+		},
+		Policy: ratepool.Policy{
+			Enabled: e.settings.Rates.Pooling, MinPart: e.settings.Rates.MinPart, Window: bounds.RateWindow,
+			Overrun: bounds.RateOverrun * overrunFraction, Slack: bounds.RateSlack * slackFraction, GrowAfter: shareGrowthDelay,
+		},
+	})
+}
+
+// registerMethods registers the methods that other instances call.
+func (e *Edge) registerMethods(loads *placement.LoadTracker) {
+	if err := errors.Join(
+		peerrouter.RegisterLoads(e.peerServer, loads.Merge), peerrouter.RegisterChanges(e.peerServer, e.relay.HandlePoll),
+		peerrouter.RegisterContact(e.peerServer, e.witness.Contact.Unbroken), peerrouter.RegisterRates(e.peerServer, e.rates.HandleDraw),
+	); err != nil {
+		e.logger.Error("failed to register the peer RPC methods", zap.Error(err))
+	}
+}
+
 // State returns the instance's view of the system, which the duties of the platform keep up to date.
 func (e *Edge) State() *belief.State { return e.state }
 
@@ -282,6 +307,7 @@
 	defer e.peerPool.Close()
 	supervisor.Start(duty.Duty{Name: "target-connections", Run: e.pool.Run})
 	supervisor.Start(duty.Duty{Name: "neighbors", Run: e.broadcaster.Run})
+	supervisor.Start(duty.Duty{Name: "shared-rates", Run: e.rates.Run})
 	for _, d := range p.Duties {
 		supervisor.Start(d)
 	}
--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -201,6 +203,9 @@
 	return i.teams[name], true
 }
 
+// Teams returns all teams in no particular order.
+func (i *Intent) Teams() iter.Seq[Team] { return maps.Values(i.teams) }
+
 // HomeRegionShares returns, by region, the estimated fraction of all requests that teams with home regions bind to that
 // region. The estimate takes the configured rate of a team as its load and divides it evenly among its home regions.
 func (i *Intent) HomeRegionShares() map[string]float64 { return i.homeRegionShares }
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -25,6 +25,7 @@
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/placement"
+	"medlarpond.dev/core/services/ratepool"
 	"medlarpond.dev/core/services/target"
 )
 
@@ -63,13 +64,17 @@
 	policy := placement.Policy{RegionShift: 0.04, RegionSpill: 0.06, EvacuationRamp: time.Second, Objects: 40, Candidates: 6, RankCost: 0.05}
 	rateLimiter := allowance.New(allowance.Policy{Window: 5 * time.Second, GrowAfter: 10 * time.Second, Slack: 5})
 	rateLimiter.SetInstances(1)
+	rates := ratepool.New(ratepool.Config{
+		Split: rateLimiter, Now: boottime.Now, Logger: zap.NewNop(),
+		View: func() ratepool.View { return ratepool.View{Intent: s.state.View().Intent} },
+	})
 	pool := target.NewPool()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = pool.Run(ctx) }()
 	tb.Cleanup(cancel)
 	s.forwarder = forward.New(forward.Config{
 		State: s.state, Placement: placement.New(s.state, "i-1", localPlace, []roster.Place{localPlace}, policy, loads), Loads: loads,
-		RateLimiter: rateLimiter, RetryBudget: allowance.NewRetryBudget(allowance.RetryPolicy{Ratio: 0.2, Reserve: 20}),
+		Rates: rates, RetryBudget: allowance.NewRetryBudget(allowance.RetryPolicy{Ratio: 0.2, Reserve: 20}),
 		Crashes: crash.NewTally(), Pool: pool, Headers: headers, Meter: meter.New(), Logger: zap.NewNop(),
 		Policy: forward.Policy{
 			ConfirmTimeout: time.Second, MaxTries: 4, UnsafeIdle: time.Second, SafeIdle: time.Second,
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -20,6 +20,7 @@
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/placement"
+	"medlarpond.dev/core/services/ratepool"
 	"medlarpond.dev/core/services/target"
 )
 
@@ -81,7 +82,7 @@
 	State       *belief.State
 	Placement   *placement.Placement
 	Loads       *placement.LoadTracker
-	RateLimiter *allowance.RateLimiter
+	Rates       *ratepool.Pool
 	RetryBudget *allowance.RetryBudget
 	Crashes     *crash.Tally
 	Pool        *target.Pool
@@ -185,8 +186,8 @@
 	hasFingerprint    bool
 	// isTrial is true while the next or the current attempt is a trial of a request under which targets have died.
 	isTrial bool
-	// rateCharged is true if the request was counted against the team's rate limit.
-	rateCharged bool
+	// rate is the decision of the team's rate limit; empty if it was not asked.
+	rate ratepool.Decision
 }
 
 // IsIdempotent reports whether the requests for a host and path may run more than once.
@@ -210,7 +211,7 @@
 // Forward handles the request and returns its outcome.
 func (f *Forwarder) Forward(ctx context.Context, r Request) Result {
 	c := &call{Request: r}
-	refused := f.admit(c)
+	refused := f.admit(ctx, c)
 	var response *target.Response
 	if refused == nil {
 		response, refused = f.tryTargets(ctx, c)
@@ -220,8 +221,8 @@
 		result.Route = c.route.Name
 	}
 	if refused != nil {
-		if refused.NotRun && c.rateCharged {
-			f.RateLimiter.Refund(c.team)
+		if refused.NotRun && c.rate.OK {
+			f.Rates.Refund(c.team, c.rate)
 		}
 		f.logRefusal(c, refused)
 	}
@@ -230,7 +231,7 @@
 
 // admit determines route, team and service, and checks the body size, the API key and the rate limit. It also refuses
 // requests during a shutdown.
-func (f *Forwarder) admit(c *call) *refusal.Refusal {
+func (f *Forwarder) admit(ctx context.Context, c *call) *refusal.Refusal {
 	c.view = f.State.View()
 	if c.view.Intent == nil {
 		return refusal.New(http.StatusServiceUnavailable, refusal.Unconfirmed,
@@ -264,11 +265,10 @@
 	if c.team.Name == "" {
 		return nil
 	}
-	if ok, wait := f.RateLimiter.Allow(c.team); !ok {
+	if c.rate = f.Rates.Take(ctx, c.team); !c.rate.OK {
 		return refusal.New(http.StatusTooManyRequests, refusal.RateExceeded,
-			"the team is over its rate").WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
+			"the team is over its rate").WithRetryAfter(min(max(c.rate.RetryAfter, minRetryAfter), maxRetryAfter))
 	}
-	c.rateCharged = true
 	return nil
 }
 
@@ -325,11 +325,17 @@
 }
 
 func (f *Forwarder) logRefusal(c *call, r *refusal.Refusal) {
-	f.Logger.Info("request refused", zap.String("request", c.ID), zap.String(logging.FieldTeam, c.team.Name),
+	fields := []zap.Field{
+		zap.String("request", c.ID), zap.String(logging.FieldTeam, c.team.Name),
 		zap.String("route", c.routeName()), zap.String("service", c.service), zap.String("reason", string(r.Reason)),
 		zap.Int("status", r.Status), zap.Bool("not-run", r.NotRun), zap.Int("tries", len(c.excludedTargets)),
 		zap.Uint64("intent", c.intentVersion()), zap.Duration("confirmed-ago", f.State.SinceConfirmed()),
-		zap.Duration("after", time.Since(c.Arrived)))
+		zap.Duration("after", time.Since(c.Arrived)),
+	}
+	if r.Reason == refusal.RateExceeded && c.rate.Pooled {
+		fields = append(fields, zap.Float64("share-held", c.rate.Held), zap.Float64("share-requested", c.rate.Requested))
+	}
+	f.Logger.Info("request refused", fields...)
 }
 
 func (c *call) routeName() string {
--- /dev/null
+++ b/core/services/ratepool/pool_test.go
@@ -0,0 +1,253 @@
+package ratepool_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarpond.dev/core/models/intent"
+	"medlarpond.dev/core/models/roster"
+	"medlarpond.dev/core/services/ratepool"
+)
+
+// step is one step of a simulation: a disturbance that must not let the fleet exceed a limit, then requests.
+type step struct {
+	// kind selects the disturbance; kinds above the last one are calm.
+	kind, instance, list int
+	pause                time.Duration
+	loss, late           float64
+	// entries are the instances that receive a request each.
+	entries []int
+}
+
+func drawSteps(rt *rapid.T, instances, maxRequests int) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		instance := rapid.IntRange(0, instances-1)
+		return step{
+			kind: rapid.IntRange(0, 17).Draw(t, "kind"), instance: instance.Draw(t, "instance"), list: rapid.IntRange(0, 4).Draw(t, "list"),
+			pause: time.Duration(rapid.IntRange(100, 3000).Draw(t, "pause")) * time.Millisecond,
+			loss:  rapid.Float64Range(0, 0.5).Draw(t, "loss"), late: rapid.Float64Range(0, 0.3).Draw(t, "late"),
+			entries: rapid.SliceOfN(instance, 0, maxRequests).Draw(t, "entries"),
+		}
+	}), 40, 40).Draw(rt, "steps")
+}
+
+func (f *fleet) disturb(s step, lists [][]roster.Instance) {
+	instance := f.list[s.instance]
+	switch s.kind {
+	case 0:
+		f.kill(instance.ID)
+	case 1:
+		f.run(instance)
+	case 2:
+		f.with(instance.ID, func(p *process) { p.pausedUntil = time.Now().Add(s.pause) })
+	case 3:
+		f.with(instance.ID, func(p *process) { p.cut = !p.cut })
+	case 4:
+		f.with(instance.ID, func(p *process) { p.view.Instances = lists[s.list] })
+	case 5:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.loss, f.late = s.loss, s.late
+	case 6:
+		for _, i := range f.list {
+			f.run(i)
+		}
+	}
+}
+
+// otherLists returns the list of instances as some of them may see it: with other capacities, which lead to other collectors, and
+// without some instances.
+func (f *fleet) otherLists() [][]roster.Instance {
+	alike, reversed := slices.Clone(f.list), slices.Clone(f.list)
+	for n := range f.list {
+		alike[n].Capacity = 0
+		reversed[n].Capacity = f.list[len(f.list)-1-n].Capacity
+	}
+	return [][]roster.Instance{f.list, reversed, alike, slices.Clone(f.list[:len(f.list)-1]), slices.Clone(f.list[1:])}
+}
+
+// TestLimitHoldsInEveryWindow guards against shares that are used twice: by a parent and by the child that has lost it, by two parents,
+// by a process and its successor, or because of a message that arrives late. Callers send many times the rate while processes die, pause,
+// restart and are cut off, messages are lost and delayed, and instances disagree about the collectors and about whether teams are pooled.
+func TestLimitHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(0.5, 150).Draw(rt, "rate")
+		team := intent.Team{Name: "t", Rate: rate, Burst: rate * rapid.Float64Range(0, 3).Draw(rt, "burst")}
+		domains, size := rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(3, 5).Draw(rt, "size")
+		steps := drawSteps(rt, domains*size, int(rate)+4)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, seed, domains, size, team)
+			lists := f.otherLists()
+			var callers sync.WaitGroup
+			for n, s := range steps {
+				f.disturb(s, lists)
+				for _, entry := range s.entries {
+					callers.Go(func() { f.take(f.list[entry].ID, team, n%5 == 0) })
+				}
+				time.Sleep(250 * time.Millisecond)
+			}
+			callers.Wait()
+			if got := f.worstWindow("t"); float64(got) > maxRequests(team) {
+				t.Errorf("got %d requests in a window, want at most %.1f", got, maxRequests(team))
+			}
+		})
+	})
+}
+
+// TestConcentratedCallersWithinTheRateAreServed guards against refusals of teams whose callers are at few of many instances: an equal
+// part of their rate would be less than a request.
+func TestConcentratedCallersWithinTheRateAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var teams []intent.Team
+		for n := range 74 {
+			rate := 2 + float64(n%25)
+			teams = append(teams, intent.Team{Name: fmt.Sprint("t", n), Rate: rate, Burst: rate})
+		}
+		f := newFleet(t, 1, 6, 17, teams...)
+		time.Sleep(4 * time.Second)
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		refused, requests := 0, 0
+		messages := 0
+		for n, team := range teams {
+			id := fmt.Sprintf("%d-%d", n%6, n/6%2)
+			callers.Go(func() {
+				f.flood(id, team, 0.6*team.Rate, time.Second)
+				r := f.flood(id, team, 0.6*team.Rate, 5*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				refused += r
+				requests += int(3 * team.Rate)
+			})
+		}
+		callers.Wait()
+		for _, n := range f.calls {
+			messages += n
+		}
+		if 100*refused > requests {
+			t.Errorf("got %d of %d requests refused, want at most 1%%", refused, requests)
+		}
+		t.Logf("%d of %d refused, %d messages in 10 s", refused, requests, messages/2)
+	})
+}
+
+// busiest returns the instance to which most messages are sent in a second: the root, or the collector of a single failure domain.
+func (f *fleet) busiest(prefix string) (id string) {
+	f.mu.Lock()
+	before := map[string]int{}
+	for id, n := range f.calls {
+		before[id] = n
+	}
+	f.mu.Unlock()
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, i := range f.list {
+		if n := f.calls[i.ID] - before[i.ID]; n > most && len(i.ID) > len(prefix) && i.ID[:len(prefix)] == prefix {
+			id, most = i.ID, n
+		}
+	}
+	return id
+}
+
+// TestFailedParentIsReplaced guards against callers that get nothing while the store still lists a collector or a root that is dead or
+// cut off: the rate must be there again well before the store removes it, and not more of it.
+func TestFailedParentIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		domains int
+		fail    func(f *fleet, id string)
+	}{
+		"collector dies": {1, func(f *fleet, id string) { f.kill(id) }},
+		"collector is paused": {1, func(f *fleet, id string) {
+			f.with(id, func(p *process) { p.pausedUntil = time.Now().Add(time.Minute) })
+		}},
+		"root dies":            {4, func(f *fleet, id string) { f.kill(id) }},
+		"root is cut off":      {4, func(f *fleet, id string) { f.with(id, func(p *process) { p.cut = true }) }},
+		"root is killed twice": {4, func(f *fleet, id string) { f.kill(id); f.kill(f.busiest("")) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				team := intent.Team{Name: "t", Rate: 20, Burst: 10}
+				f := newFleet(t, 1, c.domains, 6, team)
+				time.Sleep(5 * time.Second)
+				failed := f.busiest("")
+				caller := "0-4"
+				var running sync.WaitGroup
+				running.Go(func() { f.flood(caller, team, 60, 8*time.Second) })
+				time.Sleep(time.Second)
+				c.fail(f, failed)
+				time.Sleep(2500 * time.Millisecond)
+				since := time.Now()
+				running.Wait()
+				if got, want := f.countSince("t", since), 0.8*20*time.Since(since).Seconds(); float64(got) < want {
+					t.Errorf("got %d requests from 2.5 s after the failure of %s, want at least %.0f", got, failed, want)
+				}
+				if got := f.worstWindow("t"); float64(got) > maxRequests(team) {
+					t.Errorf("got %d requests in a window, want at most %.1f", got, maxRequests(team))
+				}
+			})
+		})
+	}
+}
+
+// TestCutOffInstanceFallsBackToItsPart guards against an instance that keeps the rate of the fleet, or gets nothing, when it cannot
+// reach any other.
+func TestCutOffInstanceFallsBackToItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		team := intent.Team{Name: "t", Rate: 200, Burst: 100}
+		f := newFleet(t, 1, 2, 5, team)
+		time.Sleep(5 * time.Second)
+		f.flood("0-4", team, 400, time.Second)
+		f.with("0-4", func(p *process) { p.cut = true })
+		f.flood("0-4", team, 400, 3*time.Second)
+		since := time.Now()
+		f.flood("0-4", team, 400, 5*time.Second)
+		if got := f.countSince("t", since); got < 80 || got > 120 {
+			t.Errorf("got %d requests in 5 s at an instance that is cut off, want about 107, a tenth of the rate", got)
+		}
+		if got := f.worstWindow("t"); float64(got) > maxRequests(team) {
+			t.Errorf("got %d requests in a window, want at most %.1f", got, maxRequests(team))
+		}
+	})
+}
+
+// TestLateMessageRenewsNothing guards against a delegation that a message on its way for long makes valid again at the parent, after the
+// child has begun to use its part itself.
+func TestLateMessageRenewsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		team := intent.Team{Name: "t", Rate: 20, Burst: 40}
+		f := newFleet(t, 1, 1, 1, team)
+		parent := f.processes["0-0"].pool
+		stamp := parent.HandleDraw(t.Context(), ratepool.Request{From: "x", Incarnation: 1, Sequence: 1})
+		delegation := ratepool.Request{
+			From: "x", Incarnation: 1, Sequence: 2, ToRoot: true, Stamp: stamp.Stamp, StampIncarnation: stamp.Incarnation,
+			Shares: []ratepool.Share{{Members: 5, Instances: 5, All: true, ValidFor: time.Minute}},
+		}
+		draw := func(sequence uint64) int {
+			reply := parent.HandleDraw(t.Context(), ratepool.Request{From: "y", Incarnation: 2, Sequence: sequence, ToRoot: true, Wants: map[string]int{"t": 1000}})
+			return reply.Grants["t"]
+		}
+		before := draw(1)
+		time.Sleep(400 * time.Millisecond)
+		parent.HandleDraw(t.Context(), delegation)
+		time.Sleep(400 * time.Millisecond)
+		if got := draw(2); got-before < 6 {
+			t.Errorf("got %d tokens in 400 ms of a delegation, want about 8", got-before)
+		}
+		time.Sleep(400 * time.Millisecond)
+		delegation.Sequence = 3
+		parent.HandleDraw(t.Context(), delegation)
+		time.Sleep(300 * time.Millisecond)
+		if got := draw(3); got > 0 {
+			t.Errorf("got %d tokens after a message with a stamp of over a second ago, want none", got)
+		}
+	})
+}
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -21,6 +21,7 @@
 	Stop           EdgeStop          `yaml:"stop"`
 	Bounds         EdgeBounds        `yaml:"bounds"`
 	Placement      EdgePlacement     `yaml:"placement"`
+	Rates          EdgeRates         `yaml:"rates"`
 	Requests       EdgeRequests      `yaml:"requests"`
 	Log            Log               `yaml:"log"`
 }
@@ -119,6 +120,15 @@
 	RegionShift float64 `yaml:"region-shift"`
 }
 
+// EdgeRates holds the parameters of the division of teams' rates among the instances.
+type EdgeRates struct {
+	// Pooling permits that instances share their parts of the rates. Otherwise each instance keeps its part. All instances must have
+	// the same setting.
+	Pooling bool `yaml:"pooling"`
+	// MinPart is the number of requests in bounds.rate-window below which the part of an instance is shared.
+	MinPart float64 `yaml:"min-part"`
+}
+
 // EdgePlacement holds the parameters of the choice of targets.
 type EdgePlacement struct {
 	// Objects is the number of objects of a service that the callers of one region use at the same time. With few slots per
@@ -183,6 +193,7 @@
 			DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
+		Rates:     EdgeRates{Pooling: true, MinPart: 4},
 		Requests: EdgeRequests{
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
 			SafeIdle: 9 * time.Second, UnsafeIdle: 8 * time.Second, UrgentQueuePerSlot: 2, OtherQueuePerSlot: 1.5,
@@ -254,6 +265,7 @@
 		{"bounds.rate-overrun", e.Bounds.RateOverrun},
 		{"bounds.rate-slack", e.Bounds.RateSlack},
 		{"bounds.region-shift", e.Bounds.RegionShift},
+		{"rates.min-part", e.Rates.MinPart},
 		{"placement.rank-cost", e.Placement.RankCost},
 		{"placement.domain-cost", e.Placement.DomainCost},
 		{"placement.region-cost", e.Placement.RegionCost},
