placement: cold targets are used by a few owners near them

placement.Policy.OwnerTimeout was set by tests only. In the assembled instance it was zero, so no instance confirmed itself as an owner: cold targets got nothing until they were warm, and named limits only the probes of instances that are not owners. edge.New now sets it from bounds.contact-within, and placement.New panics without it.

One owner for each cold target, chosen among all instances, leaves most cold targets idle in a fleet in which most instances get no callers. The rate is now divided among the instances nearest to the target that roster.Serving returns. The work plan's number of owners (half a request per second each) is bounded further to 0.25 x rate + 2.5: at 30 requests per second, 60 owners with a token each exceed what a target tolerates in a second.

Found by the new tests, which replay owners that die, restart, are cut off and are replaced: an owner that is back in contact goes by its old list while others have taken over, so it waits for contact-within (belief.State.SinceContactLost); and a new owner waits until the earlier ones have learned of the change. Ruled out: to note changes of the list when a cold target is next compared, because an instance without callers notes none; the view now holds the earlier list.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -130,6 +130,7 @@
 		RegionSpill:     s.Bounds.RegionShift * spillRateFactor,
 		EvacuationRamp:  time.Duration(evacuationRampFraction * float64(s.Bounds.EvacuateWithin)),
 		EvacuationLimit: time.Duration(evacuationLimitFraction * float64(s.Bounds.EvacuateWithin)),
+		OwnerTimeout:    s.Bounds.ContactWithin,
 		Objects:         s.Placement.Objects, Candidates: s.Placement.Candidates, RankCost: s.Placement.RankCost,
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -1,7 +1,9 @@
 package edge_test
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,7 +45,7 @@
 	} {
 		s := settings.Edge{
 			Instance: settings.Instance{ID: "self", Region: "north", FailureDomain: "north-1"},
-			Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second},
+			Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second, ContactWithin: 3 * time.Second},
 			Stop:     settings.EdgeStop{LookupTTL: time.Second},
 		}
 		e := edge.New(s, forward.Headers{}, zap.NewNop())
@@ -63,3 +65,13 @@
 		}
 	}
 }
+
+// TestOwnerTimeoutIsRequired guards against an assembly without Policy.OwnerTimeout, with which cold targets get no requests.
+func TestOwnerTimeoutIsRequired(t *testing.T) {
+	defer func() {
+		if message := fmt.Sprint(recover()); !strings.Contains(message, "OwnerTimeout") {
+			t.Errorf("got panic %q, want one that names OwnerTimeout", message)
+		}
+	}()
+	edge.New(settings.Edge{}, forward.Headers{}, zap.NewNop())
+}
--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -60,7 +60,7 @@
 	tb.Helper()
 	s := &testInstance{state: belief.New(zap.NewNop(), boottime.Now, func([]roster.Instance) {})}
 	loads := placement.NewLoadTracker()
-	policy := placement.Policy{RegionShift: 0.04, RegionSpill: 0.06, EvacuationRamp: time.Second, Objects: 40, Candidates: 6, RankCost: 0.05}
+	policy := placement.Policy{RegionShift: 0.04, RegionSpill: 0.06, EvacuationRamp: time.Second, OwnerTimeout: time.Second, Objects: 40, Candidates: 6, RankCost: 0.05}
 	rateLimiter := allowance.New(allowance.Policy{Window: 5 * time.Second, GrowAfter: 10 * time.Second, Slack: 5})
 	rateLimiter.SetInstances(1)
 	pool := target.NewPool()
--- a/core/services/belief/belief.go
+++ b/core/services/belief/belief.go
@@ -29,6 +29,10 @@
 	// Instances holds the registered instances, sorted by ID. It is nil until the first list is received, and lacks this instance
 	// until it is registered.
 	Instances []roster.Instance
+	// InstancesChangedAt is the boot time at which Instances was received. EarlierInstances is the list that was in force half of
+	// the contact timeout before; nil if there was none.
+	InstancesChangedAt time.Duration
+	EarlierInstances   []roster.Instance
 	// Generation increases with every change of targets or evacuations.
 	Generation uint64
 }
@@ -52,6 +56,9 @@
 	view        atomic.Pointer[View]
 	// confirmedAt is the boot time at which the latest request to the store with an applied response was sent.
 	confirmedAt atomic.Int64
+	// contactTimeout is the time without a confirmation after which contact with the store counts as lost; zero if it never
+	// does. contactLostUntil is the boot time of the end of the latest loss.
+	contactTimeout, contactLostUntil atomic.Int64
 
 	mu sync.Mutex
 	// targets holds all known targets by ID.
@@ -66,6 +73,7 @@
 func New(logger *zap.Logger, now func() time.Duration, onInstances func([]roster.Instance)) *State {
 	s := &State{logger: logger, now: now, onInstances: onInstances, targets: map[string]roster.Target{}}
 	s.confirmedAt.Store(int64(neverConfirmed))
+	s.contactLostUntil.Store(int64(neverConfirmed))
 	s.view.Store(&View{})
 	return s
 }
@@ -82,9 +90,23 @@
 // Confirm records that the response of the store to a request has been applied. sentAt is the boot time at which the
 // request was sent.
 func (s *State) Confirm(sentAt time.Duration) {
-	if int64(sentAt) > s.confirmedAt.Load() {
-		s.confirmedAt.Store(int64(sentAt))
+	previous, timeout := s.confirmedAt.Load(), s.contactTimeout.Load()
+	if int64(sentAt) <= previous {
+		return
+	}
+	if timeout > 0 && previous != int64(neverConfirmed) && int64(sentAt)-previous > timeout {
+		s.contactLostUntil.Store(int64(s.now()))
 	}
+	s.confirmedAt.Store(int64(sentAt))
+}
+
+// SetContactTimeout sets the time without a confirmation after which contact with the store counts as lost.
+func (s *State) SetContactTimeout(timeout time.Duration) { s.contactTimeout.Store(int64(timeout)) }
+
+// SinceContactLost returns the time since the end of the latest loss of contact with the store, which is long if there was
+// none. What the first responses after it do not contain may be outdated.
+func (s *State) SinceContactLost() time.Duration {
+	return s.now() - time.Duration(s.contactLostUntil.Load())
 }
 
 // SinceConfirmed returns the time since the latest confirmed request to the store was sent.
@@ -215,7 +237,11 @@
 		ids = append(ids, i.ID)
 	}
 	s.logger.Info("list of registered instances changed", zap.Strings("instances", ids))
-	next.Instances = instances
+	now := s.now()
+	if now-next.InstancesChangedAt >= time.Duration(s.contactTimeout.Load())/2 && len(next.Instances) > 0 {
+		next.EarlierInstances = next.Instances
+	}
+	next.Instances, next.InstancesChangedAt = instances, now
 	s.view.Store(&next)
 	s.onInstances(instances)
 }
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -137,13 +137,21 @@
 }
 
 // New returns a Placement for the instance self that runs at own. origins lists all failure domains from which callers
-// send requests.
+// send requests. It panics if Policy.OwnerTimeout is not positive: no instance would be an owner, and cold targets would get no
+// requests.
 func New(
 	state *belief.State, self string, own roster.Place, origins []roster.Place, policy Policy, loads *LoadTracker,
 ) *Placement {
+	if policy.OwnerTimeout <= 0 {
+		panic("placement: Policy.OwnerTimeout must be positive")
+	}
+	state.SetContactTimeout(policy.OwnerTimeout)
 	return &Placement{
 		state: state, own: own, origins: origins, policy: policy, loads: loads,
-		plans: map[planKey]*plan{}, coldLimiter: coldLimiter{self: self, buckets: map[string]tokenBucket{}},
+		plans: map[planKey]*plan{},
+		coldLimiter: coldLimiter{
+			self: self, buckets: map[string]*coldBucket{}, takeOverDelay: time.Duration(takeOverFraction * float64(policy.OwnerTimeout)),
+		},
 		limitLimiter: limitLimiter{self: self, buckets: map[string]*limitBucket{}},
 	}
 }
@@ -238,7 +246,7 @@
 			if inRegion == max(1, p.policy.Candidates/2) {
 				break
 			}
-			if slices.Contains(q.Excluded, hashed.target.ID) || !p.coldLimiter.allows(view, hashed.target, p.isConfirmed(), now) {
+			if slices.Contains(q.Excluded, hashed.target.ID) || !p.coldLimiter.allows(view, hashed.target, p.isConfirmed(), now, p.state.Now()) {
 				continue
 			}
 			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
@@ -261,8 +269,11 @@
 	return !e.leaving && !e.ejected && e.availableIn <= 0
 }
 
-// isConfirmed reports whether this instance may still act as an owner.
-func (p *Placement) isConfirmed() bool { return p.state.SinceConfirmed() <= p.policy.OwnerTimeout }
+// isConfirmed reports whether this instance may act as an owner. After it has lost contact with the store, it waits as long as
+// it may take to learn which owners the others have chosen meanwhile.
+func (p *Placement) isConfirmed() bool {
+	return p.state.SinceConfirmed() <= p.policy.OwnerTimeout && p.state.SinceContactLost() >= p.policy.OwnerTimeout
+}
 
 // isWithinLimit reports whether one more request fits into the limit that a target names, if it names one.
 func (p *Placement) isWithinLimit(view *belief.View, t roster.Target, e estimate, now time.Time, rejected *Rejected) bool {
