placement, forward: load reports with a pace

Targets of some deployments send a fourth figure, the pace: how long work takes on their machine now, in percent of the usual. The parser accepted exactly three figures, so all reports there were ignored, including the numbers of running and waiting requests.

Reports with three or four figures are now used. The expected time and the time in the queue are multiplied by the pace relative to the average of the service. A pace returns to that average with a half-life that is learned from consecutive reports of the targets, because paces change within less than a second in one deployment and rarely in another. Neighbors tell each other paces in AttemptResult.Pace. Malformed reports (signs, fractions, figures above 10,000, another number of figures, a pace of 0) are ignored, counted and logged once for each target.

Ruled out: to learn the same for loads, which vary by the delay of the neighbors' updates.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -167,7 +166,7 @@
 	report, hints := placement.Report{}, placement.Hints{}
 	if response != nil && targetOutcome != placement.OutcomeMisdirected {
 		// A misdirected request was answered by another target, which says nothing about this one.
-		report, hints = parseLoad(response.Header.Get(f.Headers.Load)), f.parseHints(response)
+		report, hints = f.loadReport(choice.Target.ID, response), f.parseHints(response)
 	}
 	took := time.Since(started)
 	ejected := f.Loads.End(placement.Attempt{
@@ -245,7 +244,7 @@
 	if refused == nil || refused.Header.Get(f.Headers.NotRun) == "" {
 		return false
 	}
-	r := parseLoad(refused.Header.Get(f.Headers.Load))
+	r, _ := parseLoad(refused.Header.Values(f.Headers.Load))
 	return r.Known && r.Running+r.Waiting < r.Slots
 }
 
@@ -265,23 +264,6 @@
 	}
 }
 
-// parseLoad parses a target's load header. An invalid value yields an unknown report.
-func parseLoad(value string) placement.Report {
-	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
-		return placement.Report{}
-	}
-	var numbers [3]int
-	for i, part := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || n < 0 {
-			return placement.Report{}
-		}
-		numbers[i] = n
-	}
-	return placement.Report{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Known: true}
-}
-
 // logNoTarget writes the figures by which no target was selected for a request.
 func (f *Forwarder) logNoTarget(c *call, q placement.Query, rejected placement.Rejected) {
 	f.Logger.Info("no target can take the request", zap.String("request", c.ID), zap.String(logging.FieldService, c.service),
@@ -300,6 +282,7 @@
 		zap.String("object", c.Object), zap.String("target-domain", choice.Target.Place.FailureDomain),
 		zap.Uint64("target-revision", choice.Target.Revision), zap.Uint64("intent", c.intentVersion()),
 		zap.Int("rank", choice.Rank), zap.Float64("load", choice.Load), zap.Bool("warm", choice.Warm),
+		zap.Float64("pace", choice.Pace),
 		zap.Duration("expected", choice.ExpectedTime), zap.Duration("took", took), zap.String("outcome", outcome.String()),
 	}
 	if response != nil {
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -37,7 +37,8 @@
 	Seal string
 	// NotRun marks the response of a target that has not run the request.
 	NotRun string
-	// Load carries the target's numbers of running requests, waiting requests and slots, separated by commas.
+	// Load carries the target's numbers of running requests, waiting requests and slots, and possibly its pace in percent,
+	// separated by commas.
 	Load string
 	// Leaving is 1 in the responses of a target that leaves.
 	Leaving string
@@ -97,6 +98,8 @@
 	splitter *weightedSplitter
 	// responseHeaders holds the names of headers that targets have sent.
 	responseHeaders headerNames
+	// malformedReports holds the IDs of targets whose malformed load reports have been logged.
+	malformedReports loggedTargets
 	// shutdown is nil until the instance starts to stop.
 	shutdown atomic.Pointer[shutdown]
 	// history counts the attempts of requests by historyKey, which uses historySeed.
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -47,6 +47,8 @@
 	maxSlowness = 16.0
 	// maxReportedLoad is the largest number of requests at a target that is believed. A report above it is malformed.
 	maxReportedLoad = 10_000
+	// maxReportedPace is the largest pace that is believed, in percent.
+	maxReportedPace = 10_000
 	// idleTargetTTL is how long the state of an unused target is kept.
 	idleTargetTTL = 2 * time.Minute
 )
@@ -76,21 +78,27 @@
 // Report is the load that a target reports in a response.
 type Report struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the target's machine now, in percent of the usual; zero if the target does not tell.
+	Pace int
 	// Known is false if the response contained no valid load report.
 	Known bool
 }
 
 // isPlausible reports whether the report can be true.
 func (r Report) isPlausible() bool {
-	return r.Known && r.Running >= 0 && r.Waiting >= 0 && r.Running <= maxReportedLoad && r.Waiting <= maxReportedLoad
+	return r.Known && r.Running >= 0 && r.Waiting >= 0 && r.Running <= maxReportedLoad && r.Waiting <= maxReportedLoad && isPlausiblePace(r.Pace)
 }
 
+func isPlausiblePace(pace int) bool { return pace >= 0 && pace <= maxReportedPace }
+
 // LoadTracker tracks the load and health of targets as seen by one instance. It is safe for concurrent use.
 type LoadTracker struct {
 	mu sync.Mutex
 	// targets is keyed by target ID.
 	targets         map[string]*targetState
 	processingTimes map[processingTimeKey]*processingTime
+	// paces is keyed by service.
+	paces map[string]*paceStatistics
 	// domainLoads holds the average external load of the targets of each service and failure domain.
 	domainLoads map[domainLoadKey]*domainLoad
 	// neighbors is keyed by instance ID.
@@ -112,6 +120,10 @@
 	// externalLoad is the load from instances outside the failure domain, as of externalLoadAt.
 	externalLoad   float64
 	externalLoadAt time.Time
+	// pace is the latest report of the target's pace, and paces the statistics of its service; nil if only neighbors have used
+	// the target.
+	pace  paceReport
+	paces *paceStatistics
 	// warmObjects maps recently served objects to the time of their last response; at most maxWarmObjects.
 	warmObjects map[string]time.Time
 	// failures is the failure score as of failuresAt.
@@ -157,7 +169,7 @@
 func NewLoadTracker() *LoadTracker {
 	return &LoadTracker{
 		targets: map[string]*targetState{}, processingTimes: map[processingTimeKey]*processingTime{},
-		domainLoads: map[domainLoadKey]*domainLoad{}, neighbors: map[string]neighborState{},
+		paces: map[string]*paceStatistics{}, domainLoads: map[domainLoadKey]*domainLoad{}, neighbors: map[string]neighborState{},
 	}
 }
 
@@ -176,6 +188,8 @@
 	availableIn time.Duration
 	// wait is the estimated time until a slot is free, expected the estimated response time.
 	wait, expected time.Duration
+	// pace is the factor for the target's pace in both.
+	pace float64
 }
 
 func (l *LoadTracker) stateOf(t roster.Target) *targetState {
@@ -192,7 +206,7 @@
 		l.targets[t.ID] = state
 	}
 	if state.domainLoad == nil && t.Service != "" {
-		state.domainLoad = l.domainLoadOf(t)
+		state.domainLoad, state.paces = l.domainLoadOf(t), l.pacesOf(t.Service)
 	}
 	return state
 }
@@ -206,6 +220,30 @@
 	}
 }
 
+func (l *LoadTracker) pacesOf(service string) *paceStatistics {
+	paces, ok := l.paces[service]
+	if !ok {
+		paces = newPaceStatistics()
+		l.paces[service] = paces
+	}
+	return paces
+}
+
+// setPace stores a pace that the target has reported at the given time; zero is none.
+func (s *targetState) setPace(pace int, at time.Time) {
+	if pace > 0 && s.paces != nil {
+		s.paces.update(&s.pace, pace, at)
+	}
+}
+
+// paceFactor returns the factor by which work at the target takes longer than on average.
+func (s *targetState) paceFactor(now time.Time) float64 {
+	if s.paces == nil {
+		return 1
+	}
+	return s.paces.factor(s.pace, now)
+}
+
 func (l *LoadTracker) processingTimeOf(service string, goal time.Duration) *processingTime {
 	key := processingTimeKey{service: service, goal: goal}
 	times, ok := l.processingTimes[key]
@@ -230,13 +268,15 @@
 	e := estimate{
 		load: l.totalLoad(t.ID, state, now), ejected: probing || now.Before(state.ejectedUntil), idle: state.inFlight == 0,
 		leaving: state.hints.leaving, limited: state.hints.limited, limit: state.hints.limit, availableIn: state.hints.availableIn(now),
+		pace: state.paceFactor(now),
 	}
 	if _, e.warm = state.warmObjects[object]; firstChoice && object != "" {
 		e.warm = true
 	}
-	seconds := *times.average(object, e.warm) * state.decayedSlowness(now)
+	slowness := state.decayedSlowness(now) * e.pace
+	seconds := *times.average(object, e.warm) * slowness
 	if excess := e.load + 1 - float64(t.Slots); excess > 0 {
-		wait := excess / float64(t.Slots) * times.warm * state.decayedSlowness(now)
+		wait := excess / float64(t.Slots) * times.warm * slowness
 		e.wait = time.Duration(wait * float64(time.Second))
 		seconds += wait
 	}
@@ -309,6 +349,8 @@
 		state.externalLoadAt = now
 		state.domainLoad.update(state.externalLoad, now)
 		result.Outside = state.externalLoad
+		state.setPace(a.Report.Pace, now)
+		result.Pace = a.Report.Pace
 	}
 	switch a.Outcome {
 	case OutcomeAnswered:
@@ -356,6 +398,10 @@
 	} else {
 		*average += processingTimeGain * (min(a.Duration.Seconds(), 2**average) - *average)
 	}
+	// A reported pace explains a late response by itself, and it changes faster than the slowness decays.
+	if a.Report.isPlausible() && a.Report.Pace > 0 {
+		expected *= max(1, state.paceFactor(now))
+	}
 	// A single fast response resets the slowness. A late response raises it only partly, as the target may have evicted
 	// the object.
 	ratio := min(max(a.Duration.Seconds()/expected, 1), maxSlowness)
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -53,6 +53,8 @@
 	// Limit tells whether the target names a limit, which is LimitRate.
 	Limit     LimitHint
 	LimitRate float64
+	// Pace is the pace that the target has reported, in percent; zero if it has not. Instances of earlier versions omit it.
+	Pace int
 }
 
 // hints returns what the target has said in the response, as far as it concerns all instances. An impossible limit says nothing.
@@ -153,12 +155,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	interval := min(max(update.Next, 0), maxUpdateInterval)
 	for id, n := range l.neighbors {
 		if !now.Before(n.expiresAt) {
 			delete(l.neighbors, id)
 		}
 	}
-	l.neighbors[from] = neighborState{running: update.Running, expiresAt: now.Add(neighborExpiryIntervals * min(max(update.Next, 0), maxUpdateInterval))}
+	l.neighbors[from] = neighborState{running: update.Running, expiresAt: now.Add(neighborExpiryIntervals * interval)}
 	for _, result := range update.News {
 		if state, ok := l.targets[result.Target]; ok && result.Started < state.started {
 			continue
@@ -171,6 +174,10 @@
 			state.externalLoad, state.externalLoadAt = result.Outside, now
 			state.domainLoad.update(result.Outside, now)
 		}
+		if isPlausiblePace(result.Pace) {
+			// The results of an update are half of its interval old on average.
+			state.setPace(result.Pace, now.Add(-interval/2))
+		}
 		switch {
 		case result.Answered:
 			state.failures, state.failuresAt = state.decayedFailures(now)/2, now
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -73,6 +73,8 @@
 	Warm bool
 	// ExpectedTime is the estimated response time.
 	ExpectedTime time.Duration
+	// Pace is the factor in ExpectedTime for the pace that the target has reported; 1 if it has not.
+	Pace float64
 }
 
 // Rejected counts the candidates that could not take a request, by reason.
@@ -187,7 +189,7 @@
 		}
 		if cost := p.cost(candidate, q.LatencyGoal); cost < best {
 			best, ok = cost, true
-			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, ExpectedTime: e.expected}
+			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, ExpectedTime: e.expected, Pace: e.pace}
 		}
 	}
 	if ok {
