--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -1,7 +1,9 @@
 package edge_test
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,7 +45,7 @@
 	} {
 		s := settings.Edge{
 			Instance: settings.Instance{ID: "self", Region: "north", FailureDomain: "north-1"},
-			Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second},
+			Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second, ContactWithin: 3 * time.Second},
 			Stop:     settings.EdgeStop{LookupTTL: time.Second},
 		}
 		e := edge.New(s, forward.Headers{}, zap.NewNop())
@@ -71,7 +73,7 @@
 	e := edge.New(settings.Edge{
 		Instance: settings.Instance{ID: "self", Region: "east", FailureDomain: "east-1"},
 		Capacity: settings.EdgeCapacity{CPUShare: 0.8, Cores: 1, LinkMbps: 200},
-		Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second},
+		Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second, ContactWithin: 3 * time.Second},
 	}, forward.Headers{}, zap.NewNop())
 	e.State().SetInstances([]roster.Instance{
 		{ID: "large", Place: place, Capacity: 0.8}, {ID: "self", Place: place, Capacity: 0.8},
@@ -91,3 +93,13 @@
 		t.Errorf("with both confirmed: got %v, want %v", got, want)
 	}
 }
+
+// TestOwnerTimeoutIsRequired guards against an assembly without Policy.OwnerTimeout, with which cold targets get no requests.
+func TestOwnerTimeoutIsRequired(t *testing.T) {
+	defer func() {
+		if message := fmt.Sprint(recover()); !strings.Contains(message, "OwnerTimeout") {
+			t.Errorf("got panic %q, want one that names OwnerTimeout", message)
+		}
+	}()
+	edge.New(settings.Edge{}, forward.Headers{}, zap.NewNop())
+}
