ratepool: tests check the parts that all instances hold, and the change between pool and equal split

The equal split now resumes at the rate of the pool, which may be lower than the team's: with a burst of 0 the sum could be over the limit.

--- a/core/services/allowance/allowance.go
+++ b/core/services/allowance/allowance.go
@@ -58,8 +58,10 @@
 	offeredAt time.Time
 	// recent is like offered, decaying over a second.
 	recent float64
-	// resumedAt is when the equal split began to apply to the team again; zero if it has always applied.
-	resumedAt time.Time
+	// resumedAt is when the equal split began to apply to the team again, resumedRate the requests per second that it may admit in
+	// the window after that; zero if it has always applied.
+	resumedAt   time.Time
+	resumedRate float64
 	// paceTokens is the level of a token bucket that spreads requests over the window while the team is far over its
 	// rate; as of offeredAt. It is negative after more requests, which a process that is killed must not admit much faster than
 	// the rate: its successor does not know of them.
@@ -105,7 +107,7 @@
 		windowLimit = max(1, min(windowLimit, paceRate*age.Seconds()))
 	}
 	if since := now.Sub(usage.resumedAt); !usage.resumedAt.IsZero() && since < window {
-		windowLimit = min(windowLimit, paceRate*max(0, since.Seconds()))
+		windowLimit = min(windowLimit, usage.resumedRate*max(0, since.Seconds()))
 	}
 	if !known {
 		usage.paceTokens = burst
@@ -151,8 +153,8 @@
 }
 
 // Resume starts the limit of a team anew at a time, before which other instances may have used this instance's share. In the window
-// after it the team gets only what accrues, as the whole limit may have been used just before.
-func (l *RateLimiter) Resume(team string, at time.Time) {
+// after it the team gets only what accrues at the rate, in requests per second, as the whole share may have been used just before.
+func (l *RateLimiter) Resume(team string, at time.Time, rate float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	usage, known := l.teams[team]
@@ -160,7 +162,7 @@
 		usage = &teamUsage{offeredAt: time.Now()}
 		l.teams[team] = usage
 	}
-	usage.resumedAt, usage.paceTokens = at, 0
+	usage.resumedAt, usage.resumedRate, usage.paceTokens = at, rate, 0
 }
 
 // Admitted returns the number of requests of a team that were admitted in the last window.
--- a/core/services/allowance/allowance_test.go
+++ b/core/services/allowance/allowance_test.go
@@ -236,7 +236,7 @@
 		a := allowance.New(policy)
 		a.SetInstances(10)
 		time.Sleep(2 * window)
-		a.Resume(team.Name, time.Now().Add(time.Second))
+		a.Resume(team.Name, time.Now().Add(time.Second), 10)
 		var admitted []time.Time
 		for range 600 {
 			if ok, _ := a.Allow(team); ok {
@@ -244,9 +244,9 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		// A tenth of the rate for 5 s, after the second in which nothing is admitted.
-		if got := len(admitted); got < 45 || got > 60 {
-			t.Errorf("got %d requests in 6 s, want about 53", got)
+		// Ten requests per second for 5 s, after the second in which nothing is admitted.
+		if got := len(admitted); got < 45 || got > 51 {
+			t.Errorf("got %d requests in 6 s, want about 50", got)
 		}
 		if got := admitted[0].Sub(admitted[len(admitted)-1]); got < -5*time.Second {
 			t.Errorf("the first request was admitted %v before the last one, want at most 5s", -got)
--- a/core/services/ratepool/pool.go
+++ b/core/services/ratepool/pool.go
@@ -317,11 +317,11 @@
 // moveTeam handles the change of a team between the pool and the equal split. In a window around the change, the team gets what
 // either of both permits, not the sum.
 func (p *Pool) moveTeam(now time.Duration, name string, old pooledTeam, next *pooledTeam) {
+	n := float64(p.rule.instances)
 	switch {
 	case old.pooled && !next.pooled:
-		p.Split.Resume(name, time.Now().Add(max(0, p.member.delegatedUntil()-now)))
+		p.Split.Resume(name, time.Now().Add(max(0, p.member.delegatedUntil()-now)), next.limits.rate/n)
 	case !old.pooled && next.pooled && next.limits.rate > 0:
-		n := float64(p.rule.instances)
 		excess := max(0, float64(p.Split.Admitted(name))-next.limits.size/n)
 		next.withheldUntil = now + min(p.Policy.Window+maxRootTokenAge, time.Duration(excess/(next.limits.rate/n)*float64(time.Second)))
 	}
--- a/core/services/ratepool/pool_test.go
+++ b/core/services/ratepool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -15,45 +17,26 @@
 	"medlarpond.dev/core/services/ratepool"
 )
 
-// step is one step of a simulation: a disturbance that must not let the fleet exceed a limit, then requests.
-type step struct {
-	// kind selects the disturbance; kinds above the last one are calm.
-	kind, instance, list int
-	pause                time.Duration
-	loss, late           float64
-	// entries are the instances that receive a request each.
-	entries []int
-}
-
-func drawSteps(rt *rapid.T, instances, maxRequests int) []step {
-	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-		instance := rapid.IntRange(0, instances-1)
-		return step{
-			kind: rapid.IntRange(0, 17).Draw(t, "kind"), instance: instance.Draw(t, "instance"), list: rapid.IntRange(0, 4).Draw(t, "list"),
-			pause: time.Duration(rapid.IntRange(100, 3000).Draw(t, "pause")) * time.Millisecond,
-			loss:  rapid.Float64Range(0, 0.5).Draw(t, "loss"), late: rapid.Float64Range(0, 0.3).Draw(t, "late"),
-			entries: rapid.SliceOfN(instance, 0, maxRequests).Draw(t, "entries"),
-		}
-	}), 40, 40).Draw(rt, "steps")
-}
-
-func (f *fleet) disturb(s step, lists [][]roster.Instance) {
-	instance := f.list[s.instance]
-	switch s.kind {
+// disturb does something to the fleet that must not let it exceed a limit.
+func (f *fleet) disturb(r *rand.Rand, lists [][]roster.Instance) {
+	instance := f.list[r.IntN(len(f.list))]
+	switch r.IntN(7) {
 	case 0:
 		f.kill(instance.ID)
 	case 1:
 		f.run(instance)
 	case 2:
-		f.with(instance.ID, func(p *process) { p.pausedUntil = time.Now().Add(s.pause) })
+		pause := time.Duration(r.IntN(3000)) * time.Millisecond
+		f.with(instance.ID, func(p *process) { p.pausedUntil = time.Now().Add(pause) })
 	case 3:
 		f.with(instance.ID, func(p *process) { p.cut = !p.cut })
 	case 4:
-		f.with(instance.ID, func(p *process) { p.view.Instances = lists[s.list] })
+		list := lists[r.IntN(len(lists))]
+		f.with(instance.ID, func(p *process) { p.view.Instances = list })
 	case 5:
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.loss, f.late = s.loss, s.late
+		f.loss, f.late = 0.4*r.Float64(), 0.4*r.Float64()
 	case 6:
 		for _, i := range f.list {
 			f.run(i)
@@ -61,6 +44,23 @@
 	}
 }
 
+// checkHeld checks that the parts that the processes hold are not more than the whole limit.
+func (f *fleet) checkHeld(t *testing.T, team string) {
+	t.Helper()
+	f.mu.Lock()
+	processes := slices.Collect(maps.Values(f.processes))
+	f.mu.Unlock()
+	sum := 0.0
+	for _, p := range processes {
+		if !f.isDead(p) {
+			sum += p.pool.HeldPart(team)
+		}
+	}
+	if sum > 1.000001 {
+		t.Errorf("after %v the instances hold %.4f times the limit, want at most 1", time.Since(f.start), sum)
+	}
+}
+
 // otherLists returns the list of instances as some of them may see it: with other capacities, which lead to other collectors, and
 // without some instances.
 func (f *fleet) otherLists() [][]roster.Instance {
@@ -72,26 +72,33 @@
 	return [][]roster.Instance{f.list, reversed, alike, slices.Clone(f.list[:len(f.list)-1]), slices.Clone(f.list[1:])}
 }
 
-// TestLimitHoldsInEveryWindow guards against shares that are used twice: by a parent and by the child that has lost it, by two parents,
-// by a process and its successor, or because of a message that arrives late. Callers send many times the rate while processes die, pause,
+// TestLimitHoldsInEveryWindow guards against parts that are used twice: by a parent and by the child that has lost it, by two parents, by a
+// process and its successor, or because of a message that arrives late. Callers send more than the rate while processes die, pause,
 // restart and are cut off, messages are lost and delayed, and instances disagree about the collectors and about whether teams are pooled.
 func TestLimitHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		rate := rapid.Float64Range(0.5, 150).Draw(rt, "rate")
+		rate := rapid.Float64Range(0.5, 60).Draw(rt, "rate")
 		team := intent.Team{Name: "t", Rate: rate, Burst: rate * rapid.Float64Range(0, 3).Draw(rt, "burst")}
-		domains, size := rapid.IntRange(1, 3).Draw(rt, "domains"), rapid.IntRange(3, 5).Draw(rt, "size")
-		steps := drawSteps(rt, domains*size, int(rate)+4)
+		domains, size := rapid.IntRange(1, 4).Draw(rt, "domains"), rapid.IntRange(3, 5).Draw(rt, "size")
+		calm := rapid.IntRange(0, 20).Draw(rt, "calm")
 		seed := rapid.Uint64().Draw(rt, "seed")
 		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 2))
 			f := newFleet(t, seed, domains, size, team)
 			lists := f.otherLists()
 			var callers sync.WaitGroup
-			for n, s := range steps {
-				f.disturb(s, lists)
-				for _, entry := range s.entries {
-					callers.Go(func() { f.take(f.list[entry].ID, team, n%5 == 0) })
+			quiet := time.Duration(r.IntN(5000)) * time.Millisecond
+			for time.Since(f.start) < 10*time.Second {
+				if r.IntN(calm+1) == 0 {
+					f.disturb(r, lists)
+				}
+				for range int(float64(r.IntN(100)) / 100 * 0.4 * (rate + 4)) {
+					if id := f.list[r.IntN(len(f.list))].ID; time.Since(f.start) > quiet {
+						callers.Go(func() { f.take(id, team, id == f.list[0].ID) })
+					}
 				}
-				time.Sleep(250 * time.Millisecond)
+				time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
+				f.checkHeld(t, "t")
 			}
 			callers.Wait()
 			if got := f.worstWindow("t"); float64(got) > maxRequests(team) {
@@ -251,3 +258,38 @@
 		}
 	})
 }
+
+// TestChangeBetweenPoolAndSplit guards against a team that uses its limit twice in a window as it becomes pooled or is no longer: once by
+// each of both. Instances change at different times, and callers send more than the rate all the time.
+func TestChangeBetweenPoolAndSplit(t *testing.T) {
+	for _, burst := range []float64{0, 30, 90} {
+		synctest.Test(t, func(t *testing.T) {
+			team := intent.Team{Name: "t", Rate: 30, Burst: burst}
+			f := newFleet(t, 1, 2, 4, team)
+			alike := f.otherLists()[2]
+			set := func(list []roster.Instance) {
+				for _, i := range f.list {
+					f.with(i.ID, func(p *process) { p.view.Instances = list })
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			var running sync.WaitGroup
+			for _, i := range f.list {
+				running.Go(func() { f.flood(i.ID, team, 40, 45*time.Second) })
+			}
+			for range 2 {
+				time.Sleep(4 * time.Second)
+				set(alike)
+				time.Sleep(17 * time.Second)
+				set(f.list)
+			}
+			running.Wait()
+			if got := f.worstWindow("t"); float64(got) > maxRequests(team) {
+				t.Errorf("got %d requests in a window, want at most %.1f", got, maxRequests(team))
+			}
+			if got, want := f.countSince("t", f.start), 0.75*30*time.Since(f.start).Seconds(); float64(got) < want {
+				t.Errorf("got %d requests in %v, want at least %.0f", got, time.Since(f.start), want)
+			}
+		})
+	}
+}
--- a/core/services/ratepool/sim_test.go
+++ b/core/services/ratepool/sim_test.go
@@ -114,6 +114,8 @@
 			return f.call(ctx, p, address, r)
 		},
 	})
+	// The first list of a process is complete; later ones may lack instances.
+	p.pool.HandleDraw(ctx, ratepool.Request{})
 	f.mu.Lock()
 	f.processes[i.ID] = p
 	f.mu.Unlock()
@@ -129,6 +131,12 @@
 	}
 }
 
+func (f *fleet) isDead(p *process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return p.dead
+}
+
 func (f *fleet) with(id string, change func(p *process)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -144,7 +152,7 @@
 			return
 		}
 		reply := to.pool.HandleDraw(f.ctx, r)
-		if _, ok := f.transfer(to, address); ok && !from.dead {
+		if _, ok := f.transfer(to, address); ok && !f.isDead(from) {
 			done <- reply
 		}
 	})
