--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -102,6 +102,8 @@
 	witness     *witness.Witness
 	peerServer  *peer.Server
 	peerPool    *peer.Pool
+	// ratePeers holds the connections for rates, as a call that times out closes its connection.
+	ratePeers *peer.Pool
 	meter       *meter.Meter
 	leaving     atomic.Bool
 }
@@ -137,7 +139,7 @@
 		DomainCost: s.Placement.DomainCost, RegionCost: s.Placement.RegionCost,
 	}, loads)
 	e := &Edge{
-		settings: s, self: self, logger: logger, state: state, pool: target.NewPool(), crashes: crash.NewTally(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(),
+		settings: s, self: self, logger: logger, state: state, pool: target.NewPool(), crashes: crash.NewTally(), meter: meter.New(), peerServer: peer.NewServer(), peerPool: peer.NewPool(), ratePeers: peer.NewPool(),
 	}
 	e.broadcaster = neighbor.New(neighbor.Config{
 		Self: s.Instance.ID, Place: localPlace, State: state, Loads: loads, Send: peerrouter.SendLoads(e.peerPool), Logger: logger,
@@ -169,7 +171,7 @@
 func (e *Edge) newRatePool(split *allowance.RateLimiter) *ratepool.Pool {
 	bounds := e.settings.Bounds
 	return ratepool.New(ratepool.Config{
-		Self: e.self, Now: boottime.Now, Draw: peerrouter.DrawRates(e.peerPool), Split: split, Meter: e.meter, Logger: e.logger,
+		Self: e.self, Now: boottime.Now, Draw: peerrouter.DrawRates(e.ratePeers), Split: split, Meter: e.meter, Logger: e.logger,
 		View: func() ratepool.View {
 			v := e.state.View()
 			return ratepool.View{Instances: v.Instances, Intent: v.Intent}
@@ -305,6 +307,7 @@
 	}
 	defer e.peerServer.Close()
 	defer e.peerPool.Close()
+	defer e.ratePeers.Close()
 	supervisor.Start(duty.Duty{Name: "target-connections", Run: e.pool.Run})
 	supervisor.Start(duty.Duty{Name: "neighbors", Run: e.broadcaster.Run})
 	supervisor.Start(duty.Duty{Name: "shared-rates", Run: e.rates.Run})
--- a/core/services/ratepool/lease.go
+++ b/core/services/ratepool/lease.go
@@ -14,7 +14,7 @@
 	// validityStep is the step to which the validity of passed-on delegations is rounded down, so that few groups result.
 	validityStep = 50 * time.Millisecond
 	// maxShares bounds the shares in one message. Delegations beyond it are not passed on.
-	maxShares = 64
+	maxShares = 256
 	// maxExcept bounds the exceptions in one message. A message with more delegates nothing.
 	maxExcept = 4096
 )
--- a/core/services/ratepool/node.go
+++ b/core/services/ratepool/node.go
@@ -504,10 +504,13 @@
 			}
 		}
 	}
-	if len(groups) > maxShares || len(sum.except) > maxExcept {
+	if len(sum.except) > maxExcept {
 		return nil, nil, 0
 	}
 	for g, members := range groups {
+		if len(shares) == maxShares {
+			break
+		}
 		shares = append(shares, Share{Members: members, Instances: g.instances, All: g.all, ValidFor: g.validFor})
 		validFor = max(validFor, g.validFor)
 	}
--- a/core/settings/edge_test.go
+++ b/core/settings/edge_test.go
@@ -29,6 +29,7 @@
 		"stop.margin":                {"store:", "stop: {grace: 1s, margin: 2s}\nstore:"},
 		"placement.candidates":       {"store:", "placement: {candidates: 0}\nstore:"},
 		"requests.max-tries":         {"store:", "requests: {max-tries: 0}\nstore:"},
+		"rates.min-part":             {"store:", "rates: {min-part: -1}\nstore:"},
 		"bounds.retry-ratio":         {"store:", "bounds: {retry-ratio: -1}\nstore:"},
 		"unknown field \"no-such\"":  {"store:", "no-such: 1\nstore:"},
 		"string into Go struct type": {"store:", "stop: 5\nstore:"},
