--- a/core/services/ratepool/sim_test.go
+++ b/core/services/ratepool/sim_test.go
@@ -114,6 +114,8 @@
 			return f.call(ctx, p, address, r)
 		},
 	})
+	// The first list of a process is complete; later ones may lack instances.
+	p.pool.HandleDraw(ctx, ratepool.Request{})
 	f.mu.Lock()
 	f.processes[i.ID] = p
 	f.mu.Unlock()
@@ -129,6 +131,12 @@
 	}
 }
 
+func (f *fleet) isDead(p *process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return p.dead
+}
+
 func (f *fleet) with(id string, change func(p *process)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -144,7 +152,7 @@
 			return
 		}
 		reply := to.pool.HandleDraw(f.ctx, r)
-		if _, ok := f.transfer(to, address); ok && !from.dead {
+		if _, ok := f.transfer(to, address); ok && !f.isDead(from) {
 			done <- reply
 		}
 	})
@@ -229,11 +237,15 @@
 	return n
 }
 
-// flood sends requests of a team at a rate to an instance for a time, and returns when all have ended.
+// flood sends requests of a team to an instance for a time, at random times with an average rate, and returns when all have ended.
 func (f *fleet) flood(id string, team intent.Team, rate float64, d time.Duration) (refused int) {
 	var running sync.WaitGroup
 	var mu sync.Mutex
-	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(time.Duration(float64(time.Second) / rate)) {
+	for until := time.Now().Add(d); time.Now().Before(until); {
+		f.mu.Lock()
+		pause := time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
+		f.mu.Unlock()
+		time.Sleep(pause)
 		running.Go(func() {
 			if !f.take(id, team, false) {
 				mu.Lock()
