placement: long requests count in the expected wait and not against their target

3% of the requests take seven times as long as the others, whatever their target. The average that the expected time is built on bounds such samples, so the wait behind a queue was too short, a single long response made its target look slow for seconds, and nothing kept requests that may run only once from targets whose last slot another instance may fill.

For targets that report their pace, the tracker now keeps two moments and the share of long work by service and latency goal. The wait uses them; the first of consecutive long responses is not held against a target where such work is usual; and the cost of a target for a request that is not idempotent grows with its slots in use.

Tests: core/services/placement, forward and routers/front pass with -race.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -107,7 +107,7 @@
 	_, _ = h.Write([]byte(c.ID))
 	return placement.Query{
 		Service: c.service, Object: c.object, Spread: h.Sum64(), HomeRegions: c.permittedRegions, LatencyGoal: c.route.LatencyGoal,
-		Excluded: c.excludedTargets, MaxQueuePerSlot: f.maxQueuePerSlot(c), TimeLeft: time.Until(c.deadline),
+		NonIdempotent: !c.route.Idempotent, Excluded: c.excludedTargets, MaxQueuePerSlot: f.maxQueuePerSlot(c), TimeLeft: time.Until(c.deadline),
 	}
 }
 
--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -135,6 +135,8 @@
 	// slowness is the ratio of actual to expected response time, at least 1, as of slownessAt.
 	slowness   float64
 	slownessAt time.Time
+	// longResponses counts consecutive responses that took at least longRatio times as long as expected.
+	longResponses int
 	// hints is what the target has said about the requests that it wants.
 	hints  hintState
 	usedAt time.Time
@@ -151,6 +153,8 @@
 	// warm and cold are those of requests for objects that the target has and has not served recently, objectless those
 	// of requests without an object.
 	warm, cold, objectless float64
+	// spread is the distribution of the times that are averaged in warm.
+	spread workSpread
 }
 
 // average returns the average processing time of the requests for an object.
@@ -190,6 +194,8 @@
 	wait, expected time.Duration
 	// pace is the factor for the target's pace in both.
 	pace float64
+	// risk is the expected additional wait if other requests reach the target first; zero for targets that report no pace.
+	risk time.Duration
 }
 
 func (l *LoadTracker) stateOf(t roster.Target) *targetState {
@@ -250,6 +256,7 @@
 	if !ok {
 		times = &processingTime{
 			warm: initialWarmTime * goal.Seconds(), cold: initialColdTime * goal.Seconds(), objectless: initialObjectlessTime * goal.Seconds(),
+			spread: newWorkSpread(),
 		}
 		l.processingTimes[key] = times
 	}
@@ -276,16 +283,30 @@
 	slowness := state.decayedSlowness(now) * e.pace
 	seconds := *times.average(object, e.warm) * slowness
 	if excess := e.load + 1 - float64(t.Slots); excess > 0 {
-		wait := excess / float64(t.Slots) * times.warm * slowness
+		wait := state.wait(times, excess, t.Slots) * times.warm * slowness
 		e.wait = time.Duration(wait * float64(time.Second))
 		seconds += wait
 	}
+	if state.pace.pace > 0 {
+		risk := min(1, e.load/float64(t.Slots)) * times.spread.remaining() * times.warm * slowness
+		e.risk = time.Duration(risk * float64(time.Second))
+	}
 	failureRatio := min(1, state.decayedFailures(now)/ejectionThreshold)
 	seconds += failureRatio * failureCost * goal.Seconds()
 	e.expected = time.Duration(seconds * float64(time.Second))
 	return e
 }
 
+// wait returns the expected time until a slot of the target is free, in multiples of the average processing time. excess is the
+// number of requests that exceed the slots. The distribution of processing times is used for targets that report their pace,
+// because it can be told from slow machines only there.
+func (s *targetState) wait(times *processingTime, excess float64, slots int) float64 {
+	if s.pace.pace > 0 {
+		return times.spread.wait(excess, slots)
+	}
+	return excess / float64(slots)
+}
+
 // totalLoad returns the estimated number of requests at a target. As the target's reported external load ages, it is
 // replaced by the average external load of its failure domain.
 func (l *LoadTracker) totalLoad(id string, state *targetState, now time.Time) float64 {
@@ -394,8 +415,11 @@
 	average := times.average(a.Object, a.Warm)
 	expected := *average
 	if excess := a.Load + 1 - float64(a.Target.Slots); excess > 0 {
-		expected += excess / float64(a.Target.Slots) * times.warm
+		expected += state.wait(times, excess, a.Target.Slots) * times.warm
 	} else {
+		if average == &times.warm {
+			times.spread.add(a.Duration.Seconds() / (times.warm * state.paceFactor(now)))
+		}
 		*average += processingTimeGain * (min(a.Duration.Seconds(), 2**average) - *average)
 	}
 	// A reported pace explains a late response by itself, and it changes faster than the slowness decays.
@@ -406,12 +430,26 @@
 	// the object.
 	ratio := min(max(a.Duration.Seconds()/expected, 1), maxSlowness)
 	current := state.decayedSlowness(now)
+	if state.isUsualLongResponse(ratio, times) {
+		return
+	}
 	if ratio > current {
 		ratio = current + slownessGain*(ratio-current)
 	}
 	state.slowness, state.slownessAt = ratio, now
 }
 
+// isUsualLongResponse reports whether a response that took ratio times as long as expected says nothing about the target, because
+// a share of the service's work takes that long everywhere. Two in a row are rare enough to say something.
+func (s *targetState) isUsualLongResponse(ratio float64, times *processingTime) bool {
+	if ratio < longRatio {
+		s.longResponses = 0
+		return false
+	}
+	s.longResponses++
+	return s.longResponses == 1 && s.pace.pace > 0 && times.spread.long >= usualLongShare
+}
+
 // addSoftFailure adds to the failure score without reaching ejectionThreshold.
 func (s *targetState) addSoftFailure(weight float64, now time.Time) {
 	current := s.decayedFailures(now)
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -55,6 +55,9 @@
 	LatencyGoal time.Duration
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// NonIdempotent is true for a request that may run only once, so that it cannot be sent to another target when the first one
+	// is late. It prefers targets with more free slots.
+	NonIdempotent bool
 	// Excluded lists the IDs of targets that must not be selected.
 	Excluded []string
 	// MaxQueuePerSlot is the maximum number of requests queued at a target, per slot. Targets that would exceed it are
@@ -187,7 +190,7 @@
 			rejected.Late++
 			continue
 		}
-		if cost := p.cost(candidate, q.LatencyGoal); cost < best {
+		if cost := p.cost(candidate, q); cost < best {
 			best, ok = cost, true
 			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, ExpectedTime: e.expected, Pace: e.pace}
 		}
@@ -202,9 +205,14 @@
 }
 
 // cost returns the cost of sending a request to a candidate, in multiples of the latency goal: the estimated response
-// time plus penalties for its rank and for leaving the failure domain or region.
-func (p *Placement) cost(candidate rankedTarget, goal time.Duration) float64 {
-	cost := candidate.estimate.expected.Seconds()/goal.Seconds() + float64(candidate.rank)*p.policy.RankCost
+// time plus penalties for its rank and for leaving the failure domain or region. For a request that is not idempotent it includes
+// the risk that the slots of the target are taken before the request arrives.
+func (p *Placement) cost(candidate rankedTarget, q Query) float64 {
+	seconds := candidate.estimate.expected.Seconds()
+	if q.NonIdempotent {
+		seconds += candidate.estimate.risk.Seconds()
+	}
+	cost := seconds/q.LatencyGoal.Seconds() + float64(candidate.rank)*p.policy.RankCost
 	if candidate.target.Place != p.own {
 		cost += p.policy.DomainCost
 	}
