--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -72,7 +72,7 @@
 	// answerMargin is how long before the end of a shutdown the requests that are still at targets are answered, so that their
 	// callers get an answer before the connections are closed.
 	answerMargin = 100 * time.Millisecond
-	// Retry-After values for callers.
+	// Retry-After values for callers. retryAfterOverload applies if there is no estimate of when a target has room.
 	retryAfterUnready  = 300 * time.Millisecond
 	retryAfterOverload = 400 * time.Millisecond
 	minRetryAfter      = 100 * time.Millisecond
@@ -109,9 +109,9 @@
 	// attempts is done when a shutdown ends all attempts, by calling endAttempts.
 	attempts    context.Context
 	endAttempts context.CancelFunc
-	// history counts the attempts of requests by historyKey, which uses historySeed.
-	history     *crash.History
-	historySeed maphash.Seed
+	// history counts the attempts of requests by historyKey. Hash values of requests use hashSeed.
+	history  *crash.History
+	hashSeed maphash.Seed
 	// replacementChecks is the number of lost connections whose targets may turn out to have been replaced.
 	replacementChecks atomic.Int64
 }
@@ -153,8 +153,8 @@
 func New(config Config) *Forwarder {
 	attempts, endAttempts := context.WithCancel(context.Background())
 	return &Forwarder{
-		Config: config, splitter: newWeightedSplitter(), history: crash.NewHistory(), historySeed: maphash.MakeSeed(),
 		attempts: attempts, endAttempts: endAttempts,
+		Config: config, splitter: newWeightedSplitter(), history: crash.NewHistory(), hashSeed: maphash.MakeSeed(),
 	}
 }
 
