placement, settings: the number of objects may be learned

placement.objects decides whether an object has a target in each failure domain or one in each region. It is a guess of 40 for all services of all deployments. With 0 an instance now counts the objects in its own requests and in the attempt results of its neighbors in the last 10 s and decides once a second; the default stays 40.

A margin of a quarter keeps a number that varies around the value from moving objects back and forth, because each move makes them cold. Ruled out: a message with the counted objects; load updates name the objects of attempts anyway.

Tests: core/services/placement, neighbor, settings and edge pass with -race; two mutants fail.

--- a/core/services/placement/loads.go
+++ b/core/services/placement/loads.go
@@ -97,6 +97,8 @@
 	// targets is keyed by target ID.
 	targets         map[string]*targetState
 	processingTimes map[processingTimeKey]*processingTime
+	// objects is keyed by service.
+	objects map[string]*objectCounter
 	// paces is keyed by service.
 	paces map[string]*paceStatistics
 	// domainLoads holds the average external load of the targets of each service and failure domain.
@@ -124,6 +126,8 @@
 	// the target.
 	pace  paceReport
 	paces *paceStatistics
+	// service is empty if only neighbors have used the target.
+	service string
 	// warmObjects maps recently served objects to the time of their last response; at most maxWarmObjects.
 	warmObjects map[string]time.Time
 	// failures is the failure score as of failuresAt.
@@ -173,7 +177,7 @@
 func NewLoadTracker() *LoadTracker {
 	return &LoadTracker{
 		targets: map[string]*targetState{}, processingTimes: map[processingTimeKey]*processingTime{},
-		paces: map[string]*paceStatistics{}, domainLoads: map[domainLoadKey]*domainLoad{}, neighbors: map[string]neighborState{},
+		objects: map[string]*objectCounter{}, paces: map[string]*paceStatistics{}, domainLoads: map[domainLoadKey]*domainLoad{}, neighbors: map[string]neighborState{},
 	}
 }
 
@@ -216,7 +220,7 @@
 		l.targets[t.ID] = state
 	}
 	if state.domainLoad == nil && t.Service != "" {
-		state.domainLoad, state.paces = l.domainLoadOf(t), l.pacesOf(t.Service)
+		state.domainLoad, state.paces, state.service = l.domainLoadOf(t), l.pacesOf(t.Service), t.Service
 	}
 	return state
 }
--- a/core/services/placement/neighbors.go
+++ b/core/services/placement/neighbors.go
@@ -169,6 +169,9 @@
 		state := l.stateOf(roster.Target{ID: result.Target, Started: result.Started})
 		state.usedAt = now
 		state.markWarm(result.Object, now)
+		if counter, ok := l.objects[state.service]; ok && result.Object != "" {
+			counter.add(result.Object, now)
+		}
 		state.hints.apply(result.hints(), now)
 		if result.Outside >= 0 && result.Outside <= maxReportedLoad {
 			state.externalLoad, state.externalLoadAt = result.Outside, now
--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -30,7 +30,8 @@
 	// OwnerTimeout is the time since the last confirmed contact with the store after which the instance no longer acts as an
 	// owner, of cold targets and of the limits that targets name, as the others have chosen owners without it.
 	OwnerTimeout time.Duration
-	// Objects is the number of distinct objects of a service that the callers of one region use concurrently.
+	// Objects is the number of distinct objects of a service that the callers of one region use concurrently; zero if it is
+	// learned from requests.
 	Objects int
 	// Candidates is the maximum number of targets compared for one request.
 	Candidates int
@@ -139,8 +140,12 @@
 	// viewGeneration and intentVersion identify the view and the intent from which the plan was computed.
 	viewGeneration, intentVersion uint64
 	service                       string
-	shares                        trafficShares
-	ramp                          shareRamp
+	// available is the capacity from which shares was computed with scope. scopeCheckedAt is when the scope was last decided.
+	available      capacity
+	scope          affinityScope
+	scopeCheckedAt time.Time
+	shares         trafficShares
+	ramp           shareRamp
 	// byDomain holds the permitted targets of each failure domain, including evacuated domains.
 	byDomain map[roster.Place][]hashedTarget
 	places   []roster.Place
@@ -178,6 +183,9 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	view := p.state.View()
+	if p.policy.Objects == 0 {
+		p.loads.recordObject(q.Service, q.Object, now)
+	}
 	best := math.Inf(1)
 	candidates := p.candidates(view, q, now, &rejected)
 	for _, candidate := range candidates {
@@ -350,14 +358,32 @@
 	if pl == nil || pl.viewGeneration != view.Generation || pl.intentVersion != intentVersion(view) {
 		next := p.newPlan(view, q)
 		if pl != nil {
-			next.ramp = pl.ramp
+			next.ramp, next.scope = pl.ramp, pl.scope
 		}
+		p.decideScope(next, pl == nil, now)
 		p.plans[key] = next
 		pl = next
+	} else if p.policy.Objects == 0 && now.Sub(pl.scopeCheckedAt) >= scopeCheckInterval {
+		p.decideScope(pl, false, now)
 	}
 	return pl, pl.ramp.advance(pl.shares.regions, now, p.policy.RegionShift)
 }
 
+// decideScope sets the scope and the shares of a plan. isFirst is true if the service has had no plan.
+func (p *Placement) decideScope(pl *plan, isFirst bool, now time.Time) {
+	switch {
+	case p.policy.Objects > 0:
+		pl.scope = chooseScope(pl.available, p.origins, p.policy.Objects)
+	case isFirst:
+		pl.scope = scopeFor(pl.available, p.origins, p.loads.countObjects(pl.service, now), nil)
+	default:
+		pl.scope = scopeFor(pl.available, p.origins, p.loads.countObjects(pl.service, now), &pl.scope)
+	}
+	pl.scopeCheckedAt = now
+	pl.shares = computeShares(pl.available, p.origins, p.own, pl.scope)
+}
+
+// newPlan returns a plan without a scope and shares.
 func (p *Placement) newPlan(view *belief.View, q Query) *plan {
 	permitted := func(t roster.Target) bool {
 		return !t.Leaving && (len(q.HomeRegions) == 0 || slices.Contains(q.HomeRegions, t.Place.Region))
@@ -372,8 +398,7 @@
 	}
 	pl := &plan{
 		viewGeneration: view.Generation, intentVersion: intentVersion(view), service: q.Service,
-		byDomain: map[roster.Place][]hashedTarget{},
-		shares:   computeShares(available, p.origins, p.own, chooseScope(available, p.origins, p.policy.Objects)),
+		byDomain: map[roster.Place][]hashedTarget{}, available: available,
 	}
 	for _, t := range targets {
 		if !permitted(t) {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -122,7 +122,8 @@
 // EdgePlacement holds the parameters of the choice of targets.
 type EdgePlacement struct {
 	// Objects is the number of objects of a service that the callers of one region use at the same time. With few slots per
-	// object, an object has one target for all callers of a region; with more, one for the callers of each failure domain.
+	// object, an object has one target for all callers of a region; with more, one for the callers of each failure domain. Zero:
+	// the number is learned from requests.
 	Objects int `yaml:"objects"`
 	// Candidates is the largest number of targets that are compared for one request.
 	Candidates int `yaml:"candidates"`
@@ -262,7 +263,7 @@
 	} {
 		c.require(n.value >= 0, n.setting, "must not be negative")
 	}
-	c.require(e.Placement.Objects > 0, "placement.objects", "must be positive")
+	c.require(e.Placement.Objects >= 0, "placement.objects", "must not be negative; 0 learns the number from requests")
 	c.require(e.Placement.Candidates > 0, "placement.candidates", "must be positive")
 	c.require(e.Requests.MaxTries > 0, "requests.max-tries", "must be positive")
 	c.require(e.Requests.MaxHeaderBytes > 0, "requests.max-header-bytes", "must be positive")
--- a/core/settings/edge_test.go
+++ b/core/settings/edge_test.go
@@ -28,6 +28,7 @@
 		"bounds.revoke-within":       {"store:", "bounds: {revoke-within: 0s}\nstore:"},
 		"stop.margin":                {"store:", "stop: {grace: 1s, margin: 2s}\nstore:"},
 		"placement.candidates":       {"store:", "placement: {candidates: 0}\nstore:"},
+		"placement.objects":          {"store:", "placement: {objects: -1}\nstore:"},
 		"requests.max-tries":         {"store:", "requests: {max-tries: 0}\nstore:"},
 		"bounds.retry-ratio":         {"store:", "bounds: {retry-ratio: -1}\nstore:"},
 		"unknown field \"no-such\"":  {"store:", "no-such: 1\nstore:"},
