intake: bound the memory that callers occupy

Cause: connections, heads, bodies, requests read ahead and responses of callers were each bounded, but not together, and a body that stopped was kept for 10 s at a route and without end elsewhere.

Change: core/services/intake has the account (pure decisions) and the connection that charges it and requires progress; edge gives requests, lookups and probes an account each; front charges bodies as they arrive, responses before forwarding, and requests that it handles early. A slow body that progresses is served: the timeout of its route begins when it is whole.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -27,6 +27,7 @@
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/services/intake"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/relay"
@@ -100,6 +101,7 @@
 	peerServer  *peer.Server
 	peerPool    *peer.Pool
 	meter       *meter.Meter
+	accounts    accounts
 	leaving     atomic.Bool
 }
 
@@ -161,6 +163,7 @@
 		},
 	})
 	e.router = front.New(e.forwarder, headers, e.meter, logger)
+	e.accounts = newAccounts(s, e.meter, logger, e.router)
 	e.meter.Gauge("medlarpond_store_confirmed_seconds", func() float64 { return state.SinceConfirmed().Seconds() })
 	e.meter.Gauge("medlarpond_running_requests", func() float64 { return float64(e.router.Running()) })
 	return e
@@ -249,16 +252,20 @@
 	defer supervisor.Stop()
 	caller := e.server(e.router)
 	caller.ConnContext = e.router.ConnContext
+	e.accounts.requests.Configure(caller)
 	auxiliary := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
+	for n, account := range []*intake.Account{e.accounts.lookups, e.accounts.probes, e.accounts.probes} {
+		account.Configure(auxiliary[n])
+	}
 	defer closeAll(auxiliary)
 	for _, s := range []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error { return caller.Serve(e.router.Listener(l)) }},
-		{"lookup-server", e.settings.Listen.Lookup, auxiliary[0].Serve},
-		{"ready-server", e.settings.Listen.Ready, auxiliary[1].Serve},
-		{"metrics-server", e.settings.Listen.Metrics, auxiliary[2].Serve},
+		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error { return caller.Serve(e.accounts.requests.Listener(e.router.Listener(l))) }},
+		{"lookup-server", e.settings.Listen.Lookup, func(l net.Listener) error { return auxiliary[0].Serve(e.accounts.lookups.Listener(l)) }},
+		{"ready-server", e.settings.Listen.Ready, func(l net.Listener) error { return auxiliary[1].Serve(e.accounts.probes.Listener(l)) }},
+		{"metrics-server", e.settings.Listen.Metrics, func(l net.Listener) error { return auxiliary[2].Serve(e.accounts.probes.Listener(l)) }},
 		{"peer-server", e.settings.Listen.Peer, e.peerServer.Serve},
 	} {
 		if s.address == "" {
--- a/core/modules/refusal/refusal.go
+++ b/core/modules/refusal/refusal.go
@@ -30,6 +30,7 @@
 	DuplicateRequest Reason = "duplicate-request"
 	CrashSuspected   Reason = "crash-suspected"
 	BodyTooLarge     Reason = "body-too-large"
+	BodyTooSlow      Reason = "body-too-slow"
 	UpgradeRefused   Reason = "upgrade-not-supported"
 	TargetFailed     Reason = "target-failed"
 	OutcomeUnknown   Reason = "outcome-unknown"
--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,15 +19,18 @@
 	"medlarpond.dev/core/modules/meter"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/services/intake"
 	"medlarpond.dev/core/services/target"
 )
 
 const (
-	// bodyTimeout limits the time until the buffered part of a body has been received.
+	// bodyTimeout limits the time until the buffered part of a body has been received, on a server without an account.
 	bodyTimeout = 10 * time.Second
 	// stallTimeout limits the time for which a caller may read nothing of a response that is streamed.
 	stallTimeout = 10 * time.Second
-	bearerPrefix = "Bearer "
+	// retryAfterNoRoom is the Retry-After of a request for which there is no memory; slow callers are closed after a second.
+	retryAfterNoRoom = time.Second
+	bearerPrefix     = "Bearer "
 )
 
 // Router handles the requests of callers.
@@ -40,6 +44,8 @@
 	// running is the number of requests in progress.
 	running atomic.Int64
 	bodies  bodyBuffers
+	// account bounds the memory of requests that are handled early; nil if nothing does.
+	account *intake.Account
 }
 
 // New returns a Router.
@@ -47,6 +53,10 @@
 	return &Router{forwarder: forwarder, headers: headers, meter: m, logger: logger}
 }
 
+// SetAccount sets the account that bounds the memory of requests that are handled early. It must be called before the router
+// serves.
+func (t *Router) SetAccount(a *intake.Account) { t.account = a }
+
 // BeginShutdown makes every later response ask the caller to close its connection.
 func (t *Router) BeginShutdown() { t.leaving.Store(true) }
 
@@ -71,6 +81,7 @@
 	var result forward.Result
 	if early != nil {
 		<-early.done
+		defer early.release()
 		result, arrived = early.result, early.arrived
 	} else {
 		result = t.handle(r.Context(), w, r, arrived)
@@ -94,9 +105,17 @@
 			zap.Int("status", refused.Status), zap.Bool("not-run", true))
 		return forward.Result{Refusal: refused}
 	}
+	if !intake.FromContext(ctx).ChargeResponse() {
+		return forward.Result{Refusal: refuseNoRoom("the instance has no memory for the response")}
+	}
 	return t.forwarder.Forward(ctx, request)
 }
 
+// refuseNoRoom returns the refusal of a request for which the instance has no memory.
+func refuseNoRoom(message string) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.Overloaded, message).WithRetryAfter(retryAfterNoRoom)
+}
+
 // parseRequest extracts the data on which the handling of a request depends, and removes the headers that must not be
 // forwarded to a target.
 func (t *Router) parseRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (forward.Request, *refusal.Refusal) {
@@ -137,13 +156,18 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(request.Arrived.Add(bodyTimeout))
-	buffered, whole, err := t.bodies.read(r.Body, r.ContentLength)
+	conn := intake.FromContext(r.Context())
+	_ = controller.SetReadDeadline(request.Arrived.Add(conn.BodyTimeout(bodyTimeout)))
+	buffered, whole, err := t.bodies.read(r.Body, r.ContentLength, conn.ChargeBody)
 	request.Body = buffered
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
+	case errors.Is(err, errNoRoom):
+		return refuseNoRoom(err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded) && conn != nil:
+		return refusal.New(http.StatusRequestTimeout, refusal.BodyTooSlow, "the body arrived too slowly")
 	case err != nil:
 		return refusal.New(http.StatusBadRequest, refusal.Malformed, "the body did not arrive whole")
 	}
@@ -152,11 +176,20 @@
 		return nil
 	}
 	request.Length = int64(len(buffered))
+	allowForUpload(request, time.Now())
 	// The server detects that the caller has disconnected only if there is no read deadline.
 	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
 
+// allowForUpload makes the time limit of the route begin when the body has arrived. That of the caller still begins before it.
+func allowForUpload(request *forward.Request, now time.Time) {
+	if request.Timeout > 0 {
+		request.Timeout = max(request.Timeout-now.Sub(request.Arrived), time.Nanosecond)
+	}
+	request.Arrived = now
+}
+
 // writeResponse sends the response of a target to the caller. If the response is interrupted, the connection to the
 // caller is closed, so that the caller notices.
 func (t *Router) writeResponse(w http.ResponseWriter, response *target.Response, requestID string) {
--- a/core/routers/front/readahead.go
+++ b/core/routers/front/readahead.go
@@ -16,6 +16,7 @@
 
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/services/intake"
 )
 
 const (
@@ -39,6 +40,8 @@
 	// have been started.
 	start  func(r foundRequest) *pending
 	cancel context.CancelFunc
+	// account bounds the memory of the requests that are found.
+	account *intake.Account
 
 	// ahead holds bytes that have been read before the server asked for them. Only Read uses it and ended; the server
 	// never calls Read concurrently.
@@ -66,6 +69,8 @@
 	*http.Request
 	// number is the position of the request on its connection, counting from 1.
 	number int
+	// reserved is the memory that is reserved for the request and its response.
+	reserved int64
 }
 
 // pending is a request that is handled before the server has read it.
@@ -75,11 +80,14 @@
 	// done is closed when result is set.
 	done   chan struct{}
 	result forward.Result
+	// release releases what is reserved for the request; it is called once, after the response.
+	release func()
 }
 
 // discard releases a result that is not delivered.
 func (p *pending) discard() {
 	<-p.done
+	defer p.release()
 	if p.result.Response != nil && p.result.Response.Rest != nil {
 		_ = p.result.Response.Rest.Close()
 	}
@@ -110,7 +118,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &callerConn{
-		Conn: c, cancel: cancel, head: []byte{},
+		Conn: c, cancel: cancel, head: []byte{}, account: l.router.account,
 		start: func(r foundRequest) *pending { return l.router.startEarly(ctx, r) },
 	}, nil
 }
@@ -173,7 +181,10 @@
 	c.cancel()
 	c.mu.Lock()
 	unused := c.pending
-	c.pending, c.queued, c.closing = nil, nil, true
+	for _, r := range c.queued {
+		c.account.Release(r.reserved)
+	}
+	c.pending, c.queued, c.head, c.closing = nil, nil, nil, true
 	c.mu.Unlock()
 	for _, p := range unused {
 		go p.discard()
@@ -204,6 +215,8 @@
 		}
 		c.head = c.head[end:]
 	}
+	// An empty slice would keep its array.
+	c.head = []byte{}
 }
 
 // scanRequest handles the head of one request. It returns false if the next request cannot be found or must not be handled
@@ -218,12 +231,17 @@
 		return false
 	}
 	// The server reads the first request on an idle connection at once.
-	isNext := !c.running && c.found == c.begun
-	c.found++
-	if !isNext {
-		c.queued = append(c.queued, foundRequest{Request: r, number: c.found})
-		c.startQueued()
+	if !c.running && c.found == c.begun {
+		c.found++
+		return true
+	}
+	reserved := intake.ResponseBytes + intake.HeadCost(len(head), bytes.Count(head, []byte("\n")))
+	if !c.account.Reserve(reserved) {
+		return false
 	}
+	c.found++
+	c.queued = append(c.queued, foundRequest{Request: r, number: c.found, reserved: reserved})
+	c.startQueued()
 	return true
 }
 
@@ -232,6 +250,8 @@
 	for len(c.queued) > 0 && len(c.pending) < maxAhead && !c.closing {
 		if p := c.start(c.queued[0]); p != nil {
 			c.pending = append(c.pending, p)
+		} else {
+			c.account.Release(c.queued[0].reserved)
 		}
 		c.queued = c.queued[1:]
 	}
@@ -245,6 +265,7 @@
 	c.begun++
 	// A request whose turn comes before pending has room for it is not started.
 	for len(c.queued) > 0 && c.queued[0].number <= c.begun {
+		c.account.Release(c.queued[0].reserved)
 		c.queued = c.queued[1:]
 	}
 	if len(c.pending) == 0 || c.pending[0].request.number != c.begun {
@@ -285,7 +306,7 @@
 	if id == "" || t.leaving.Load() || !t.forwarder.IsIdempotent(stripPort(r.Host), path) {
 		return nil
 	}
-	p := &pending{request: r, arrived: time.Now(), done: make(chan struct{})}
+	p := &pending{request: r, arrived: time.Now(), done: make(chan struct{}), release: func() { t.account.Release(r.reserved) }}
 	t.meter.Count("medlarpond_pipelined_requests_total", "handled", "early")
 	t.running.Add(1)
 	go func() {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -22,6 +22,7 @@
 	Bounds         EdgeBounds        `yaml:"bounds"`
 	Placement      EdgePlacement     `yaml:"placement"`
 	Requests       EdgeRequests      `yaml:"requests"`
+	Intake         EdgeIntake        `yaml:"intake"`
 	Log            Log               `yaml:"log"`
 }
 
@@ -187,7 +188,8 @@
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
 			SafeIdle: 9 * time.Second, UnsafeIdle: 8 * time.Second, UrgentQueuePerSlot: 2, OtherQueuePerSlot: 1.5,
 		},
-		Log: Log{Level: "info"},
+		Intake: defaultEdgeIntake(),
+		Log:    Log{Level: "info"},
 	}
 }
 
@@ -209,6 +211,7 @@
 		"must name the failure domain of the instance with its region")
 	e.checkTimes(c)
 	e.checkNumbers(c)
+	e.Intake.check(c)
 	e.Log.check(c)
 }
 
