--- a/core/services/crash/tally.go
+++ b/core/services/crash/tally.go
@@ -132,6 +132,14 @@
 	return s != nil && s.isBlocked()
 }
 
+// HasDeaths reports whether any target has died under a request, as far as this instance knows.
+func (t *Tally) HasDeaths(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.lookup(f)
+	return s != nil && len(s.stored.Deaths)+len(s.pending) > 0
+}
+
 // RecordDeath records that an incarnation of a target has died during an attempt that was sent at sentAt. It returns the
 // number of deaths under the request. Several attempts can see the same death; one that was sent after a death of the
 // incarnation was recorded sees the next one.
