placement: select the target of a hedge

Cause: a hedge (docs/design/hedged-requests.md) must spare targets that ordinary requests may use: cold ones, ones that name a limit and ones without a free slot; it should leave the failure domain of the first attempt unless a warm target is there. Without HedgeOf nothing differs. Ruled out: a check of the choice by the caller, which would have taken a token of a cold or limited target by then; taking the first candidate's region as the request's, since it is another one if the first attempt had the only target of the region. Tests: go test ./core/services/placement: ok.

--- a/core/services/placement/placement.go
+++ b/core/services/placement/placement.go
@@ -60,6 +60,11 @@
 	// MaxQueuePerSlot is the maximum number of requests queued at a target, per slot. Targets that would exceed it are
 	// not selected.
 	MaxQueuePerSlot float64
+	// HedgeOf is the target at which the request is running already, or nil. The query is then for a hedge: only warm targets
+	// with a free slot that name no limit are selected.
+	HedgeOf *roster.Target
+	// MeasureBusy is true if Choice.BusyShare is to be set.
+	MeasureBusy bool
 }
 
 // Choice is a selected target with the estimates that led to its selection.
@@ -73,6 +78,8 @@
 	Warm bool
 	// ExpectedTime is the estimated response time.
 	ExpectedTime time.Duration
+	// BusyShare is the share of busy slots of the compared targets.
+	BusyShare float64
 }
 
 // Rejected counts the candidates that could not take a request, by reason.
@@ -159,11 +166,11 @@
 	candidates := p.candidates(view, q, now, &rejected)
 	for _, candidate := range candidates {
 		t, e := candidate.target, candidate.estimate
-		if t.Place.Region != candidates[0].target.Place.Region && !p.spillLimiter.allows(now, p.policy.RegionSpill) {
+		if t.Place.Region != q.homeRegion(candidates) && !p.spillLimiter.allows(now, p.policy.RegionSpill) {
 			rejected.Spill++
 			continue
 		}
-		maxQueuePerSlot := q.MaxQueuePerSlot
+		maxQueuePerSlot := q.maxQueue()
 		if candidate.rank > 0 && !e.warm && q.Object != "" {
 			// A request for an object that is cold on this target takes several times as long, so only a free slot is
 			// worth using.
@@ -177,13 +184,14 @@
 			rejected.Late++
 			continue
 		}
-		if cost := p.cost(candidate, q.LatencyGoal); cost < best {
+		if cost := p.cost(candidate, q.LatencyGoal) + q.hedgeCost(t); cost < best {
 			best, ok = cost, true
 			c = Choice{Target: t, Rank: candidate.rank, Load: e.load, Warm: e.warm, ExpectedTime: e.expected}
 		}
 	}
 	if ok {
-		p.spillLimiter.record(now, c.Target.Place.Region != candidates[0].target.Place.Region)
+		c.BusyShare = q.busyShare(candidates)
+		p.spillLimiter.record(now, c.Target.Place.Region != q.homeRegion(candidates))
 		p.coldLimiter.consume(c.Target)
 		p.limitLimiter.consume(c.Target, now)
 		p.loads.Begin(c.Target)
@@ -229,23 +237,25 @@
 		if place.Region != region {
 			inRegion, region = 0, place.Region
 		}
+		inDomain := 0
 		targets := slices.Clone(pl.byDomain[place])
 		slices.SortFunc(targets, func(a, b hashedTarget) int { return compare(a.score(object), b.score(object)) })
 		for _, hashed := range targets {
 			if len(ranked) == p.policy.Candidates {
 				return ranked
 			}
-			if inRegion == max(1, p.policy.Candidates/2) {
+			if maxInRegion := max(1, p.policy.Candidates/2); inRegion == maxInRegion || inDomain == q.maxInDomain(maxInRegion) {
 				break
 			}
-			if slices.Contains(q.Excluded, hashed.target.ID) || !p.coldLimiter.allows(view, hashed.target, p.isConfirmed(), now) {
+			if slices.Contains(q.Excluded, hashed.target.ID) || q.excludesCold(hashed.target, now) || !p.coldLimiter.allows(view, hashed.target, p.isConfirmed(), now) {
 				continue
 			}
-			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0, q.LatencyGoal, now)
-			if !estimated.isUsable(rejected) || !p.isWithinLimit(view, hashed.target, estimated, now, rejected) {
+			estimated := p.loads.estimate(hashed.target, q.Service, q.Object, len(ranked) == 0 && !q.isHedge(), q.LatencyGoal, now)
+			if !estimated.isUsable(rejected) || q.excludesLimited(estimated) || !p.isWithinLimit(view, hashed.target, estimated, now, rejected) {
 				continue
 			}
 			inRegion++
+			inDomain++
 			ranked = append(ranked, rankedTarget{target: hashed.target, estimate: estimated, rank: len(ranked)})
 		}
 	}
