placement: a response without a pause no longer pauses its target for an instant

Cause: Hints.apply set the end of the pause to the time of the response even if the target asked for none. A selection that took its time before that response was recorded, and read the state after it, found the target paused for up to the microseconds between. With few targets the request was refused as overloaded. Seen in tests of hedged requests (2 of some 500 runs): "Paused:1 AvailableIn:93.039µs" and 503. Ruled out: the load, the spill limit and the deadline as the reason (all counts zero); hedging (the request was not hedged). Tests: TestResponseWithoutPause fails before the change; go test -race ./core/services/placement ./core/services/forward: ok; 80 runs of the tests of hedges in eight processes at once: ok.

--- a/core/services/placement/hints.go
+++ b/core/services/placement/hints.go
@@ -48,7 +48,7 @@
 
 // apply updates the state with the hints of a response.
 func (s *hintState) apply(h Hints, now time.Time) {
-	if until := now.Add(min(h.Pause, maxPause)); until.After(s.pausedUntil) {
+	if until := now.Add(min(h.Pause, maxPause)); h.Pause > 0 && until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
 	s.leaving = s.leaving || h.Leaving
