forward, edge, settings: hedged requests

Cause: 3% of the requests take seven times as long as usual, and targets are slow for 600 ms at a time; a few slow responses spoil the latency figures. Change: a timer per attempt of an idempotent request whose body is held, once the route's quantile is known; when it fires, the hedge is decided, its target chosen and sent from there, while the first attempt stays in the request's own goroutine. The attempt that is answered first claims the pair under a lock and cancels the other's context, which closes its connection. Without the ratio, Hedger is nil and attempts are sent as before. Ruled out: both attempts in goroutines of their own, which every request would pay for; waiting for the loser to end before the response is passed on; recording only the response times of winners, by which the quantile falls with every hedge. Tests: go test -race -p 2 on core/services/{hedge,forward,placement,crash}, core/settings, core/edge, core/routers/front: ok.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -27,6 +27,7 @@
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
+	"medlarpond.dev/core/services/hedge"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/relay"
@@ -154,7 +155,7 @@
 	}
 	e.forwarder = forward.New(forward.Config{
 		State: state, Placement: chooser, Loads: loads, RateLimiter: rateLimiter, RetryBudget: retryBudget, Crashes: e.crashes, Pool: e.pool,
-		Headers: headers, Meter: e.meter, Logger: logger,
+		Hedger: newHedger(s.Hedging), Headers: headers, Meter: e.meter, Logger: logger,
 		Policy: forward.Policy{
 			ConfirmTimeout: e.confirmTimeout(), MaxTries: s.Requests.MaxTries, UnsafeIdle: s.Requests.UnsafeIdle,
 			SafeIdle: s.Requests.SafeIdle, UrgentQueuePerSlot: s.Requests.UrgentQueuePerSlot, OtherQueuePerSlot: s.Requests.OtherQueuePerSlot,
@@ -166,6 +167,14 @@
 	return e
 }
 
+// newHedger returns nil if hedging is off.
+func newHedger(s settings.EdgeHedging) *hedge.Hedger {
+	if s.Ratio <= 0 {
+		return nil
+	}
+	return hedge.New(hedge.Policy{Ratio: s.Ratio, Quantile: s.Quantile})
+}
+
 // State returns the instance's view of the system, which the duties of the platform keep up to date.
 func (e *Edge) State() *belief.State { return e.state }
 
--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -36,44 +36,62 @@
 // tryTargets sends the request to one target after another until one responds or no further attempt is permitted.
 func (f *Forwarder) tryTargets(ctx context.Context, c *call) (*target.Response, *refusal.Refusal) {
 	f.RetryBudget.Deposit(c.service)
-	var failedResponse *target.Response
-	sentCount := 0
-	for range f.Policy.MaxTries {
+	for ; c.tries < f.Policy.MaxTries; c.tries++ {
 		if time.Until(c.deadline) < minAttemptTime {
 			break
 		}
-		choice, refused, ok := f.nextTarget(ctx, c, sentCount)
+		choice, refused, ok := f.nextTarget(ctx, c, c.sentCount)
 		if refused != nil && c.possibleRuns == 0 {
 			return nil, refused
 		}
 		if !ok {
 			break
 		}
-		response, outcome, err := f.tryTarget(ctx, c, choice)
-		sent := !target.IsNotSent(err)
-		retrySame := outcome == outcomeNotRun && f.reportsFreeSlots(response) && c.lastTarget != choice.Target.ID
+		first, second := f.send(ctx, c, choice)
+		retrySame := first.outcome == outcomeNotRun && f.reportsFreeSlots(first.response) && c.lastTarget != choice.Target.ID
 		c.lastTarget = choice.Target.ID
-		if outcome == outcomeAnswered {
-			return response, nil
+		if first.outcome == outcomeAnswered {
+			return first.response, nil
 		}
-		if sent {
-			sentCount++
-		}
-		if !retrySame {
-			c.excludedTargets = append(c.excludedTargets, choice.Target.ID)
-		}
-		if outcome == outcomeFailed {
-			failedResponse = response
-		}
-		if outcome != outcomeNotRun {
-			c.possibleRuns++
+		c.addFailed(first, retrySame)
+		if second != nil {
+			if second.outcome == outcomeAnswered {
+				first.discard()
+				return second.response, nil
+			}
+			c.addFailedHedge(*second)
 		}
+		sent := !target.IsNotSent(first.err)
 		if ctx.Err() != nil || (c.possibleRuns > 0 && (!c.route.Idempotent || c.possibleRuns >= c.route.MaxAttempts)) || (c.Rest != nil && sent) {
-			c.bodyTooLarge = isBodyTooLarge(err)
+			c.bodyTooLarge = isBodyTooLarge(first.err)
 			break
 		}
 	}
-	return f.giveUp(c, failedResponse)
+	return f.giveUp(c, c.failedResponse)
+}
+
+// send sends the request to the selected target. second is the result of its hedge; nil if none was sent.
+func (f *Forwarder) send(ctx context.Context, c *call, choice placement.Choice) (first attemptResult, second *attemptResult) {
+	if f.Hedger == nil {
+		return f.tryTarget(ctx, c, attempt{choice: choice}), nil
+	}
+	return f.sendHedged(ctx, c, choice)
+}
+
+// addFailed counts an attempt that was not answered. The target is not tried again unless retrySame is true.
+func (c *call) addFailed(r attemptResult, retrySame bool) {
+	if !target.IsNotSent(r.err) {
+		c.sentCount++
+	}
+	if !retrySame {
+		c.excludedTargets = append(c.excludedTargets, r.choice.Target.ID)
+	}
+	if r.outcome == outcomeFailed {
+		c.failedResponse = r.response
+	}
+	if r.outcome != outcomeNotRun {
+		c.possibleRuns++
+	}
 }
 
 // nextTarget selects the target of the next attempt; sentCount is the number of targets that the request was sent to. If
@@ -108,7 +126,7 @@
 	_, _ = h.Write([]byte(c.ID))
 	return placement.Query{
 		Service: c.service, Object: c.object, Spread: h.Sum64(), HomeRegions: c.permittedRegions, LatencyGoal: c.route.LatencyGoal,
-		Excluded: c.excludedTargets, MaxQueuePerSlot: f.maxQueuePerSlot(c), TimeLeft: time.Until(c.deadline),
+		Excluded: c.excludedTargets, MaxQueuePerSlot: f.maxQueuePerSlot(c), TimeLeft: time.Until(c.deadline), MeasureBusy: f.Hedger != nil,
 	}
 }
 
@@ -152,9 +170,9 @@
 	return errors.As(err, &tooLarge)
 }
 
-// tryTarget sends the request to the selected target. The error is that of the exchange.
-func (f *Forwarder) tryTarget(ctx context.Context, c *call, choice placement.Choice) (*target.Response, requestOutcome, error) {
-	started := time.Now()
+// tryTarget sends the request to the selected target.
+func (f *Forwarder) tryTarget(ctx context.Context, c *call, a attempt) attemptResult {
+	choice, started := a.choice, time.Now()
 	idle := f.Policy.UnsafeIdle
 	if c.route.Idempotent {
 		idle = f.Policy.SafeIdle
@@ -169,7 +187,12 @@
 		// A misdirected request was answered by another target, which says nothing about this one.
 		report, hints = parseLoad(response.Header.Get(f.Headers.Load)), f.parseHints(response)
 	}
+	lost := a.pair.end(a.role, outcome)
+	if lost {
+		outcome, targetOutcome = outcomeUnknown, placement.OutcomeCancelled
+	}
 	took := time.Since(started)
+	f.recordResponseTime(c, a, targetOutcome, lost, took)
 	ejected := f.Loads.End(placement.Attempt{
 		Target: choice.Target, Service: c.service, Object: c.object, LatencyGoal: c.route.LatencyGoal, Duration: took,
 		Load: choice.Load, Warm: choice.Warm, Outcome: targetOutcome, Report: report, Hints: hints,
@@ -179,14 +202,19 @@
 	if errors.As(err, &oversized) {
 		f.Meter.Count("medlarpond_oversized_responses_total", "part", oversized.Part)
 	}
-	f.logAttempt(c, choice, response, err, outcome, took)
+	f.logAttempt(c, a, response, err, outcome, took, lost)
 	f.recordRun(c, choice, outcome, err, started)
 	if ejected {
 		f.Meter.Count("medlarpond_ejections_total", "service", c.service)
 		f.Logger.Warn("target ejected after failures", zap.String(logging.FieldTarget, choice.Target.ID),
 			zap.String("service", c.service))
 	}
-	return response, outcome, err
+	result := attemptResult{choice: choice, response: response, outcome: outcome, err: err}
+	if lost {
+		result.discard()
+		result.response = nil
+	}
+	return result
 }
 
 // classify returns what a response or error means for the request and for the target's health.
@@ -292,8 +320,9 @@
 
 // logAttempt writes the log line from which the path of a request can be reconstructed.
 func (f *Forwarder) logAttempt(
-	c *call, choice placement.Choice, response *target.Response, err error, outcome requestOutcome, took time.Duration,
+	c *call, a attempt, response *target.Response, err error, outcome requestOutcome, took time.Duration, lost bool,
 ) {
+	choice := a.choice
 	fields := []zap.Field{
 		zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String(logging.FieldTeam, c.team.Name),
 		zap.String(logging.FieldService, c.service), zap.String(logging.FieldTarget, choice.Target.ID),
@@ -302,6 +331,7 @@
 		zap.Int("rank", choice.Rank), zap.Float64("load", choice.Load), zap.Bool("warm", choice.Warm),
 		zap.Duration("expected", choice.ExpectedTime), zap.Duration("took", took), zap.String("outcome", outcome.String()),
 	}
+	fields = append(fields, a.logFields(lost)...)
 	if response != nil {
 		fields = append(fields, zap.Int("status", response.Status), zap.String("target-load", response.Header.Get(f.Headers.Load)))
 		fields = append(fields, f.hintFields(response.Header)...)
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -19,6 +19,7 @@
 	"medlarpond.dev/core/services/allowance"
 	"medlarpond.dev/core/services/belief"
 	"medlarpond.dev/core/services/crash"
+	"medlarpond.dev/core/services/hedge"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/target"
 )
@@ -84,11 +85,13 @@
 	RateLimiter *allowance.RateLimiter
 	RetryBudget *allowance.RetryBudget
 	Crashes     *crash.Tally
-	Pool        *target.Pool
-	Headers     Headers
-	Policy      Policy
-	Meter       *meter.Meter
-	Logger      *zap.Logger
+	// Hedger is nil if requests are not hedged.
+	Hedger  *hedge.Hedger
+	Pool    *target.Pool
+	Headers Headers
+	Policy  Policy
+	Meter   *meter.Meter
+	Logger  *zap.Logger
 }
 
 // Forwarder forwards requests to targets. It is safe for concurrent use.
@@ -176,6 +179,13 @@
 	// excludedTargets lists the IDs of targets that are not tried again. lastTarget is the ID of the target tried last.
 	excludedTargets []string
 	lastTarget      string
+	// tries is the number of targets that the request was offered to before the current attempt. hedged is true once a hedge was sent.
+	tries  int
+	hedged bool
+	// sentCount is the number of attempts that may have reached a target, failedResponse the response of a target that has run the
+	// request and failed.
+	sentCount      int
+	failedResponse *target.Response
 	// possibleRuns is the number of targets that may have run the request.
 	possibleRuns int
 	// bodyTooLarge is true if the body turned out to be over the limit while it was sent to a target.
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -22,6 +22,7 @@
 	Bounds         EdgeBounds        `yaml:"bounds"`
 	Placement      EdgePlacement     `yaml:"placement"`
 	Requests       EdgeRequests      `yaml:"requests"`
+	Hedging        EdgeHedging       `yaml:"hedging"`
 	Log            Log               `yaml:"log"`
 }
 
@@ -150,6 +151,24 @@
 	OtherQueuePerSlot  float64 `yaml:"other-room"`
 }
 
+// EdgeHedging holds the parameters of hedges: second attempts of idempotent requests that are sent to another target while the
+// first one is still running.
+type EdgeHedging struct {
+	// Ratio is the largest share of a route's requests that may be hedged, at most maxHedgingRatio; zero turns hedging off.
+	Ratio float64 `yaml:"ratio"`
+	// Quantile is the quantile of the route's response times after which a hedge is sent.
+	Quantile float64 `yaml:"quantile"`
+}
+
+const (
+	// maxHedgingRatio bounds the extra work of targets.
+	maxHedgingRatio = 0.2
+	// minHedgingQuantile and maxHedgingQuantile are bounds on the quantile: below the median, hedging would double the work if the
+	// ratio permitted it, and the 100 responses from which the quantile is learned at least do not tell higher ones.
+	minHedgingQuantile = 0.5
+	maxHedgingQuantile = 0.99
+)
+
 // LoadEdge reads and validates the settings file of an edge instance.
 func LoadEdge(path string) (Edge, error) {
 	content, err := os.ReadFile(path)
@@ -187,7 +206,8 @@
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
 			SafeIdle: 9 * time.Second, UnsafeIdle: 8 * time.Second, UrgentQueuePerSlot: 2, OtherQueuePerSlot: 1.5,
 		},
-		Log: Log{Level: "info"},
+		Hedging: EdgeHedging{Quantile: 0.95},
+		Log:     Log{Level: "info"},
 	}
 }
 
@@ -265,5 +285,8 @@
 	c.require(e.Placement.Objects > 0, "placement.objects", "must be positive")
 	c.require(e.Placement.Candidates > 0, "placement.candidates", "must be positive")
 	c.require(e.Requests.MaxTries > 0, "requests.max-tries", "must be positive")
+	c.require(e.Hedging.Ratio >= 0 && e.Hedging.Ratio <= maxHedgingRatio, "hedging.ratio", "must be from 0, which turns hedging off, to 0.2")
+	c.require(e.Hedging.Quantile >= minHedgingQuantile && e.Hedging.Quantile <= maxHedgingQuantile, "hedging.quantile",
+		"must be from 0.5 to 0.99")
 	c.require(e.Requests.MaxHeaderBytes > 0, "requests.max-header-bytes", "must be positive")
 }
--- a/core/settings/edge_test.go
+++ b/core/settings/edge_test.go
@@ -16,9 +16,13 @@
 `
 
 func TestParseEdge(t *testing.T) {
-	if _, err := settings.ParseEdge("valid", []byte(validEdge)); err != nil {
+	e, err := settings.ParseEdge("valid", []byte(validEdge))
+	if err != nil {
 		t.Fatal(err)
 	}
+	if want := (settings.EdgeHedging{Quantile: 0.95}); e.Hedging != want {
+		t.Errorf("got hedging %+v without a setting, want %+v", e.Hedging, want)
+	}
 	for want, replacement := range map[string][2]string{
 		"instance.id":                {"id: i-1", "id: I 1"},
 		"listen.ready":               {"ready: 127.0.0.1:3", "ready: somewhere"},
@@ -29,6 +33,10 @@
 		"stop.margin":                {"store:", "stop: {grace: 1s, margin: 2s}\nstore:"},
 		"placement.candidates":       {"store:", "placement: {candidates: 0}\nstore:"},
 		"requests.max-tries":         {"store:", "requests: {max-tries: 0}\nstore:"},
+		"hedging.ratio":              {"store:", "hedging: {ratio: 0.21}\nstore:"},
+		"hedging.ratio: must be":     {"store:", "hedging: {ratio: -0.1}\nstore:"},
+		"hedging.quantile":           {"store:", "hedging: {ratio: 0.1, quantile: 0}\nstore:"},
+		"hedging.quantile: must be":  {"store:", "hedging: {quantile: 0.999}\nstore:"},
 		"bounds.retry-ratio":         {"store:", "bounds: {retry-ratio: -1}\nstore:"},
 		"unknown field \"no-such\"":  {"store:", "no-such: 1\nstore:"},
 		"string into Go struct type": {"store:", "stop: 5\nstore:"},
