hedge: tests that notice a saved allowance and old response times; forward: text of an earlier mutant

Cause: of the 41 mutants of the files that hedging touches, two passed. TestExtraWorkStaysWithinLimit took every hedge as soon as it was permitted, so nothing was ever saved; now part of the steps have no slow requests. TestDelay had no responses right before its pause of a minute. One earlier row of docs/MUTANTS.md no longer matched its text in attempts.go; the text is back. Tests: those three mutants fail again, the other 38 did before; go test ./core/services/hedge ./core/services/forward: ok.

--- a/core/services/forward/attempts.go
+++ b/core/services/forward/attempts.go
@@ -48,10 +48,11 @@
 			break
 		}
 		first, second := f.send(ctx, c, choice)
-		retrySame := first.outcome == outcomeNotRun && f.reportsFreeSlots(first.response) && c.lastTarget != choice.Target.ID
+		response := first.response
+		retrySame := first.outcome == outcomeNotRun && f.reportsFreeSlots(response) && c.lastTarget != choice.Target.ID
 		c.lastTarget = choice.Target.ID
 		if first.outcome == outcomeAnswered {
-			return first.response, nil
+			return response, nil
 		}
 		c.addFailed(first, retrySame)
 		if second != nil {
--- a/core/services/hedge/hedge_test.go
+++ b/core/services/hedge/hedge_test.go
@@ -20,6 +20,7 @@
 		n := rapid.IntRange(1, 7).Draw(rt, "instances")
 		requests := rapid.SliceOfN(rapid.IntRange(0, 60), steps, steps).Draw(rt, "requests")
 		busy := rapid.SliceOfN(rapid.Float64Range(0, 1), steps, steps).Draw(rt, "busy")
+		slow := rapid.SliceOfN(rapid.Bool(), steps, steps).Draw(rt, "slow")
 		restart := rapid.SliceOfN(rapid.Bool(), steps, steps).Draw(rt, "restart")
 		fleet := make([]*hedge.Hedger, n)
 		var hedges [steps]int
@@ -30,7 +31,7 @@
 			}
 			for range requests[step] {
 				fleet[i].CountRequest("r", busy[step])
-				if fleet[i].Take("r", busy[step]) == hedge.Permitted {
+				if slow[step] && fleet[i].Take("r", busy[step]) == hedge.Permitted {
 					hedges[step]++
 				}
 			}
@@ -115,6 +116,7 @@
 		if delay, ok := h.Delay("r"); !ok || delay != 500*time.Millisecond {
 			t.Errorf("after a minute: got %v, %v, want 500ms", delay, ok)
 		}
+		record(100, 500*time.Millisecond)
 		time.Sleep(61 * time.Second)
 		if delay, ok := h.Delay("r"); ok {
 			t.Errorf("a minute after the last response: got %v, want no delay", delay)
