mpctl: check FILE

Cause: a file is validated only while it is applied, one document after the other, and the first refusal leaves it half applied; nothing tells operators of routes that never match, teams without a route, or limits that contradict each other. Change: mpctl check FILE, with package mpctl/check. What is wrong in force already is reported only for resources of the file.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 # Runs each native fuzz target for FUZZTIME. Inputs that fail are stored under testdata as seeds.
 FUZZTIME ?= 20s
 FUZZ := core/settings:FuzzParse core/models/resource:FuzzResource core/services/configuration:FuzzRecord \
-	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources core/services/dispatch:FuzzKey core/routers/front:FuzzPipeline
+	core/modules/peer:FuzzServer mpctl/api:FuzzDecodeResources core/services/dispatch:FuzzKey core/routers/front:FuzzPipeline mpctl/check:FuzzRun
 
 fuzz:
 	for f in $(FUZZ); do go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 5x -parallel 4 ./$${f%:*} || exit 1; done
--- a/mpctl/api/yaml.go
+++ b/mpctl/api/yaml.go
@@ -28,7 +28,7 @@
 		if document == nil {
 			continue
 		}
-		r, err := convertDocument(document)
+		r, err := ConvertDocument(document)
 		if err != nil {
 			return nil, fmt.Errorf("document %d: %w", len(resources)+1, err)
 		}
@@ -50,10 +50,11 @@
 	if err := change(spec); err != nil {
 		return resource.Resource{}, err
 	}
-	return convertDocument(document)
+	return ConvertDocument(document)
 }
 
-func convertDocument(document any) (resource.Resource, error) {
+// ConvertDocument converts a decoded YAML document into a resource.
+func ConvertDocument(document any) (resource.Resource, error) {
 	encoded, err := json.Marshal(document)
 	if err != nil {
 		return resource.Resource{}, err
--- a/mpctl/help.go
+++ b/mpctl/help.go
@@ -9,6 +9,7 @@
 
 Examples:
   mpctl get target
+  mpctl check intents.yaml
   mpctl apply -f intents.yaml --dry-run
   mpctl apply -f intents.yaml -m 'first set-up' --wait
   mpctl set team lawns rate=80 -m 'spring season'
@@ -39,7 +40,8 @@
 can be applied again.
 
 --dry-run shows each field that would change (+ added, - removed, ~ changed)
-and changes nothing; it does not validate values. A document looks like this:
+and changes nothing; it does not validate values, 'mpctl check' does. A
+document looks like this:
 
   kind: team
   name: lawns
@@ -125,6 +127,7 @@
 	return []command{
 		{"get", "show resources", getHelp, &getCommand{program: p}},
 		{"apply", "create or update from YAML", applyHelp, &applyCommand{program: p}},
+		{"check", "check YAML before it is applied", checkHelp, &checkCommand{program: p}},
 		{"set", "change fields of a resource", setHelp, &setCommand{program: p}},
 		{"delete", "delete a resource", deleteHelp, &deleteCommand{program: p}},
 		{"rollback", "undo a change with a new one", rollbackHelp, &rollbackCommand{program: p}},
--- a/mpctl/main.go
+++ b/mpctl/main.go
@@ -103,10 +103,11 @@
 	}
 	fmt.Fprintln(os.Stderr, "mpctl: "+err.Error())
 	var usageErr *errUsage
+	var unreadable *errUnreadable
 	var notApplied *errNotApplied
 	var refused *api.ErrRefused
 	switch {
-	case errors.As(err, &parseErr), errors.As(err, &usageErr):
+	case errors.As(err, &parseErr), errors.As(err, &usageErr), errors.As(err, &unreadable):
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitCode(refused)
