ratepool: draws do not wait for the calls of earlier ones

Cause: one call was in flight between a child and its parent, so a draw waited for the end of the call before it, at both levels.

Ruled out: a shortage of tokens, which would refuse in the region of the root as well; a longer wait, which holds refusals back from teams that are over their rates.

Change: up to eight calls are in flight. Each answers its own draws; only the latest stamp counts, and replies of an earlier parent count for their draws only.

--- a/core/services/ratepool/lease.go
+++ b/core/services/ratepool/lease.go
@@ -235,6 +235,12 @@
 	}
 }
 
+// nextSequence returns the sequence number of the next message.
+func (u *uplink) nextSequence() uint64 {
+	u.sequence++
+	return u.sequence
+}
+
 // delegated reports whether the parent may use what the node holds.
 func (u *uplink) delegated(now time.Duration) bool { return now < u.delegatedUntil }
 
@@ -255,7 +261,10 @@
 	recovered, newProcess = u.failures > 0, u.stampIncarnation != r.Incarnation
 	u.failures = 0
 	delete(u.probeAt, u.parent.ID)
-	u.stamp, u.stampIncarnation, u.stampAt = r.Stamp, r.Incarnation, now
+	if newProcess || r.Stamp > u.stamp {
+		// Replies may arrive in another order.
+		u.stamp, u.stampIncarnation, u.stampAt = r.Stamp, r.Incarnation, now
+	}
 	return recovered, newProcess
 }
 
--- a/core/services/ratepool/node.go
+++ b/core/services/ratepool/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -16,6 +17,8 @@
 	// callTimeout bounds a call to a parent, callBackoff is the delay after one that failed.
 	callTimeout = 250 * time.Millisecond
 	callBackoff = 100 * time.Millisecond
+	// maxCalls is the largest number of calls to the parent at a time: one every 4 ms at a round trip of 30 ms between regions.
+	maxCalls = 8
 	// releaseTimeout is how long a parent waits until its own parent has accepted a delegation without what a child releases.
 	// releasePoll is how often it checks.
 	releaseTimeout = 150 * time.Millisecond
@@ -40,6 +43,9 @@
 	maxWant = 1 << 20
 )
 
+// errNoParent is the cause of a message without a receiver.
+var errNoParent = errors.New("no instance to send the message to")
+
 // node is one level of the hierarchy in a process: the member, the domain collector or the root. It holds the delegations of its
 // children and its own share, and either delegates them to its parent and draws tokens there, or grants tokens from its own buckets.
 type node struct {
@@ -76,6 +82,9 @@
 	uplink                 uplink
 	buckets                map[string]*bucket
 	teams                  map[string]*teamQueue
+	// callsInFlight is the number of calls to the parent, which calls counts as well.
+	callsInFlight int
+	calls         sync.WaitGroup
 	// nextCallAt is the earliest time of the next call after a failure, renewAt that of the next one without requests.
 	nextCallAt, renewAt time.Duration
 	// acceptedAt is when the latest message was sent whose delegation the parent has accepted.
@@ -89,6 +98,8 @@
 	tokens []token
 	// waiters wait for tokens, the oldest first.
 	waiters []*waiter
+	// aheadInCalls is the number of tokens that calls in flight draw ahead.
+	aheadInCalls int
 	// emptyUntil is when the parent is asked again after it had too few tokens, nextTokenAt when it may have one again.
 	emptyUntil, nextTokenAt time.Duration
 	// demand is the average number of tokens requested per demandTime, as of demandAt.
@@ -114,8 +125,8 @@
 // waiter is a draw that waits for the node's next call to its parent.
 type waiter struct {
 	want int
-	// inCall is true while a call for the waiter is in progress.
-	inCall bool
+	// call is the sequence number of the message that was sent for the waiter; zero before that.
+	call uint64
 	// granted and wait are set before done is closed.
 	granted []token
 	wait    time.Duration
@@ -424,6 +435,7 @@
 	defer n.probes.Wait()
 	timer := time.NewTimer(minDelay)
 	defer timer.Stop()
+	defer n.calls.Wait()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -435,23 +447,29 @@
 	}
 }
 
-// exchange sends one message to the parent if there is anything to send, and returns the time until the next one without requests.
+// exchange starts to send one message to the parent if there is anything to send, and returns the time until the next one without
+// requests. Requests do not wait for the calls of earlier ones, which may take as long as a round trip between regions.
 func (n *node) exchange(ctx context.Context) time.Duration {
 	n.mu.Lock()
 	now := n.now()
 	n.refresh(now)
-	if now < n.nextCallAt {
+	if wait := n.nextCallAt - now; wait > 0 {
+		n.mu.Unlock()
+		return wait
+	}
+	if n.callsInFlight >= maxCalls {
 		n.mu.Unlock()
-		return n.nextCallAt - now
+		return renewInterval
 	}
-	wants := n.allWanted(now)
+	sequence := n.uplink.nextSequence()
+	wants, ahead := n.allWanted(now, sequence)
 	if len(wants) == 0 && n.own.empty() && n.children.isEmpty() && !n.uplink.delegated(now) {
 		n.mu.Unlock()
 		return renewInterval
 	}
-	if len(wants) == 0 && now < n.renewAt {
+	if wait := n.renewAt - now; len(wants) == 0 && wait > 0 {
 		n.mu.Unlock()
-		return n.renewAt - now
+		return wait
 	}
 	previous, release := n.uplink.parent, Request{
 		From: n.self, Incarnation: n.incarnation, ToRoot: n.toRoot, Stamp: n.uplink.stamp, StampIncarnation: n.uplink.stampIncarnation, Release: true,
@@ -459,33 +477,49 @@
 	changed := n.uplink.choose()
 	parent := n.uplink.parent
 	if changed && n.uplink.mayRelease(now, previous, release) {
-		n.uplink.sequence++
-		release.Sequence = n.uplink.sequence
+		release.Sequence = n.uplink.nextSequence()
 		n.mu.Unlock()
 		n.releaseTo(ctx, previous, release)
 		n.mu.Lock()
 		now = n.now()
 		n.refresh(now)
 	}
-	r := n.newRequest(now, wants)
+	r := n.newRequest(now, sequence, wants)
+	n.callsInFlight++
 	n.renewAt = now + renewInterval
 	if candidate, ok := n.uplink.nextProbe(now); ok {
 		n.probes.Go(func() { n.probe(ctx, candidate) })
 	}
 	n.mu.Unlock()
-	if parent.ID == "" {
-		return renewInterval
-	}
-	if changed {
+	if changed && parent.ID != "" {
 		n.onParent(parent)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	reply, err := n.send(callCtx, parent, r)
-	cancel()
+	n.calls.Go(func() { n.call(ctx, parent, now, r, ahead) })
+	return renewInterval
+}
+
+// call sends a message to the parent and applies the reply. ahead is the number of tokens that are drawn ahead, by team.
+func (n *node) call(ctx context.Context, parent Parent, sentAt time.Duration, r Request, ahead map[string]int) {
+	reply, err := Reply{}, errNoParent
+	if parent.ID != "" {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		reply, err = n.send(callCtx, parent, r)
+		cancel()
+	}
+	n.mu.Lock()
+	n.callsInFlight--
+	for name, count := range ahead {
+		if q := n.teams[name]; q != nil {
+			q.aheadInCalls = max(0, q.aheadInCalls-count)
+		}
+	}
+	n.mu.Unlock()
 	if err != nil {
-		return n.callFailed(ctx, parent, now, r, err)
+		n.callFailed(ctx, parent, sentAt, r, err)
+	} else {
+		n.callSucceeded(parent, sentAt, r, reply)
 	}
-	return n.callSucceeded(parent, now, r, reply)
+	n.signal()
 }
 
 // releaseTo ends the delegation to an earlier parent, so that the next one can get it before it ends by itself.
@@ -514,11 +548,10 @@
 }
 
 // newRequest returns the next message. What it delegates is not held here from now on.
-func (n *node) newRequest(now time.Duration, wants map[string]int) Request {
+func (n *node) newRequest(now time.Duration, sequence uint64, wants map[string]int) Request {
 	u := &n.uplink
-	u.sequence++
 	r := Request{
-		From: n.self, Incarnation: n.incarnation, Sequence: u.sequence, ToRoot: n.toRoot,
+		From: n.self, Incarnation: n.incarnation, Sequence: sequence, ToRoot: n.toRoot,
 		Stamp: u.stamp, StampIncarnation: u.stampIncarnation, Wants: wants,
 	}
 	if !u.mayDelegate(now) {
@@ -532,32 +565,36 @@
 	return r
 }
 
-// allWanted returns the number of tokens to draw by team.
-func (n *node) allWanted(now time.Duration) map[string]int {
-	wants := map[string]int{}
+// allWanted returns the number of tokens to draw with the next message, by team, and how many of them are drawn ahead.
+func (n *node) allWanted(now time.Duration, sequence uint64) (wants, ahead map[string]int) {
+	wants, ahead = map[string]int{}, map[string]int{}
 	for name, q := range n.teams {
-		if want := n.wanted(now, q); want > 0 {
-			wants[name] = min(want, maxWant)
+		waiting, early := n.wanted(now, q, sequence)
+		if want := min(waiting+early, maxWant); want > 0 {
+			wants[name], ahead[name] = want, early
 		}
 	}
-	return wants
+	return wants, ahead
 }
 
-// wanted returns the number of tokens of a team to draw, and marks the waiters as being in the call.
-func (n *node) wanted(now time.Duration, q *teamQueue) int {
+// wanted returns the number of tokens of a team to draw for waiters without a call, which get the sequence number of the message,
+// and to draw ahead.
+func (n *node) wanted(now time.Duration, q *teamQueue, sequence uint64) (waiting, ahead int) {
 	q.dropExpired(now)
 	if now < q.emptyUntil {
-		return 0
+		return 0, 0
 	}
-	want := 0
 	for _, w := range q.waiters {
-		w.inCall = true
-		want += w.want
+		if w.call == 0 {
+			w.call = sequence
+			waiting += w.want
+		}
 	}
 	if n.ahead {
-		want += max(0, n.aheadTokens(now, q)-len(q.tokens))
+		ahead = max(0, n.aheadTokens(now, q)-len(q.tokens)-q.aheadInCalls)
+		q.aheadInCalls += ahead
 	}
-	return want
+	return waiting, ahead
 }
 
 // delegation returns all that the node can delegate now, and the longest time after the stamp that a part of it is valid. What
@@ -596,31 +633,36 @@
 	return shares, sum.except, validFor
 }
 
-// callFailed records a failed call and returns the time until the next one.
-func (n *node) callFailed(ctx context.Context, parent Parent, sentAt time.Duration, r Request, err error) time.Duration {
+// callFailed records a failed call.
+func (n *node) callFailed(ctx context.Context, parent Parent, sentAt time.Duration, r Request, err error) {
 	n.mu.Lock()
 	now := n.now()
-	first := n.uplink.fail(sentAt, now)
-	n.nextCallAt = now + callBackoff
+	first := false
+	if parent == n.uplink.parent {
+		first = n.uplink.fail(sentAt, now) && parent.ID != ""
+		n.nextCallAt = now + callBackoff
+	}
 	for name := range r.Wants {
 		if q := n.teams[name]; q != nil {
-			n.finishCall(now, q, nil, defaultWait)
+			n.finishCall(now, q, r.Sequence, nil, defaultWait)
 		}
 	}
 	n.mu.Unlock()
 	if first && ctx.Err() == nil {
 		n.onLost(parent, err)
 	}
-	return callBackoff
 }
 
-// callSucceeded records a reply and returns the time until the next message without requests.
-func (n *node) callSucceeded(parent Parent, sentAt time.Duration, r Request, reply Reply) time.Duration {
+// callSucceeded records a reply.
+func (n *node) callSucceeded(parent Parent, sentAt time.Duration, r Request, reply Reply) {
 	n.mu.Lock()
 	now := n.now()
-	back, newProcess := n.uplink.succeed(now, reply)
-	if reply.Accepted {
-		n.acceptedAt = sentAt
+	back, newProcess := false, false
+	if parent == n.uplink.parent {
+		back, newProcess = n.uplink.succeed(now, reply)
+		if reply.Accepted {
+			n.acceptedAt = max(n.acceptedAt, sentAt)
+		}
 	}
 	from := sourceRoot
 	if !n.toRoot && reply.Top {
@@ -644,27 +686,25 @@
 			// What the parent holds may change, so it is asked again before a long wait is over.
 			q.emptyUntil, q.nextTokenAt = now+min(wait, renewInterval), now+wait
 		}
-		n.finishCall(now, q, tokens, wait)
+		n.finishCall(now, q, r.Sequence, tokens, wait)
 	}
-	delay := renewInterval
 	if newProcess {
 		// The first reply of a parent permits the first delegation.
-		delay, n.renewAt = 0, now
+		n.renewAt = now
 	}
 	n.mu.Unlock()
 	if back {
 		n.onBack(parent)
 	}
-	return delay
 }
 
 // finishCall distributes the tokens of a call to the waiters that it was made for, and keeps the rest.
-func (n *node) finishCall(now time.Duration, q *teamQueue, tokens []token, wait time.Duration) {
+func (n *node) finishCall(now time.Duration, q *teamQueue, sequence uint64, tokens []token, wait time.Duration) {
 	q.tokens = append(q.tokens, tokens...)
 	q.dropExpired(now)
 	rest := q.waiters[:0]
 	for _, w := range q.waiters {
-		if !w.inCall {
+		if w.call != sequence {
 			rest = append(rest, w)
 			continue
 		}
@@ -675,9 +715,6 @@
 	}
 	clear(q.waiters[len(rest):])
 	q.waiters = rest
-	if len(rest) > 0 {
-		n.signal()
-	}
 }
 
 func (h holding) empty() bool { return len(h.members) == 0 }
