--- a/core/services/ratepool/lease.go
+++ b/core/services/ratepool/lease.go
@@ -25,11 +25,14 @@
 	incarnation uint64
 }
 
-// lease is what one child has delegated.
+// lease is what one child has delegated. A lease without parts was released; it is kept until no earlier message of the child can be
+// accepted any more.
 type lease struct {
 	sequence uint64
-	parts    []leasedPart
-	except   map[string]float64
+	// releasedUntil is when a released lease is removed; zero for others.
+	releasedUntil time.Duration
+	parts         []leasedPart
+	except        map[string]float64
 }
 
 // leasedPart is a part of a lease that ends at the same time.
@@ -48,7 +51,7 @@
 }
 
 // expire removes the parts that have ended and reports whether there were any.
-func (t *leaseTable) expire(now time.Duration) bool {
+func (t *leaseTable) expire(now time.Duration) (removed bool) {
 	if t.nextEnd == 0 || now < t.nextEnd {
 		return false
 	}
@@ -61,12 +64,15 @@
 				t.noteEnd(p.end)
 			}
 		}
+		removed = removed || len(kept) < len(l.parts)
 		l.parts = kept
-		if len(kept) == 0 {
+		if l.releasedUntil > now {
+			t.noteEnd(l.releasedUntil)
+		} else if len(kept) == 0 {
 			delete(t.leases, id)
 		}
 	}
-	return true
+	return removed
 }
 
 func (t *leaseTable) noteEnd(end time.Duration) {
@@ -106,6 +112,31 @@
 	return true
 }
 
+// release ends the delegation of the child that has sent a message, and reports whether it did.
+func (t *leaseTable) release(now time.Duration, incarnation uint64, r Request) bool {
+	id := childID{instance: r.From, incarnation: r.Incarnation}
+	l, known := t.leases[id]
+	if r.StampIncarnation != incarnation || (known && r.Sequence <= l.sequence) {
+		return false
+	}
+	if t.leases == nil {
+		t.leases = map[childID]*lease{}
+	}
+	t.leases[id] = &lease{sequence: r.Sequence, releasedUntil: now + leaseTTL}
+	t.noteEnd(now + leaseTTL)
+	return true
+}
+
+// isEmpty reports whether no child delegates anything.
+func (t *leaseTable) isEmpty() bool {
+	for _, l := range t.leases {
+		if len(l.parts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // sum returns what all children have delegated together.
 func (t *leaseTable) sum() holding {
 	var h holding
@@ -190,6 +221,26 @@
 	return Parent{}, false
 }
 
+// mayRelease reports whether a delegation to the previous parent can be ended by the message: it is still in use there, and the parent
+// has not failed.
+func (u *uplink) mayRelease(now time.Duration, previous Parent, r Request) bool {
+	_, failed := u.probeAt[previous.ID]
+	return previous.ID != "" && !failed && u.delegated(now) && r.StampIncarnation != 0 && r.StampIncarnation == u.delegatedTo
+}
+
+// released records that the parent's process has ended the delegation.
+func (u *uplink) released(now time.Duration, r Reply) {
+	if r.Released && r.Incarnation == u.delegatedTo {
+		u.delegatedUntil = min(u.delegatedUntil, now)
+	}
+}
+
+// nextSequence returns the sequence number of the next message.
+func (u *uplink) nextSequence() uint64 {
+	u.sequence++
+	return u.sequence
+}
+
 // delegated reports whether the parent may use what the node holds.
 func (u *uplink) delegated(now time.Duration) bool { return now < u.delegatedUntil }
 
@@ -210,7 +261,10 @@
 	recovered, newProcess = u.failures > 0, u.stampIncarnation != r.Incarnation
 	u.failures = 0
 	delete(u.probeAt, u.parent.ID)
-	u.stamp, u.stampIncarnation, u.stampAt = r.Stamp, r.Incarnation, now
+	if newProcess || r.Stamp > u.stamp {
+		// Replies may arrive in another order.
+		u.stamp, u.stampIncarnation, u.stampAt = r.Stamp, r.Incarnation, now
+	}
 	return recovered, newProcess
 }
 
