intake: requests, lookups and probes share one account with guaranteed parts

Cause: with fixed parts, lookups had room for 260 connections on a machine of 136 MB. Callers that keep a connection for lookups could meet that in calm, while most of the memory was free.

Ruled out: a larger fixed part for lookups, which requests would then lack.

Change: each account has a share that the others cannot use; what the shares leave is used by whichever needs it first. The setting request-share is new; a ConnState hook that a server has already is kept.

Tests: core/services/intake, core/settings and core/edge pass with the race detector, as do the tests of the account in core/routers/front.

--- a/core/services/intake/account.go
+++ b/core/services/intake/account.go
@@ -59,17 +59,28 @@
 // Account counts the memory that the callers of one or more servers occupy. It is safe for concurrent use. A nil Account has
 // no limit.
 type Account struct {
-	limit  int64
+	*pool
 	policy Policy
 	// refused is called with each reason for which something is refused or closed.
 	refused func(Reason)
 	now     func() time.Time
+	// guaranteed is the part of the pool that the other accounts cannot use.
+	guaranteed int64
 
-	mu      sync.Mutex
+	// used and holders are guarded by the mutex of the pool.
 	used    int64
 	holders map[*holder]struct{}
 }
 
+// pool is the memory that several accounts share.
+type pool struct {
+	limit int64
+	// accounts does not change.
+	accounts []*Account
+
+	mu sync.Mutex
+}
+
 // holder is what one connection holds.
 type holder struct {
 	account *Account
@@ -86,9 +97,33 @@
 	evicted bool
 }
 
+// NewAccounts returns accounts that share limit bytes. Each has a fraction of it, its share, that the others cannot use. What the
+// shares leave is used by whichever needs it first.
+func NewAccounts(limit int64, policy Policy, refused func(Reason), shares ...float64) []*Account {
+	p := &pool{limit: limit}
+	for _, share := range shares {
+		p.accounts = append(p.accounts, &Account{
+			pool: p, policy: policy, refused: refused, now: time.Now, guaranteed: int64(share * float64(limit)),
+			holders: map[*holder]struct{}{},
+		})
+	}
+	return p.accounts
+}
+
 // NewAccount returns an account of limit bytes.
 func NewAccount(limit int64, policy Policy, refused func(Reason)) *Account {
-	return &Account{limit: limit, policy: policy, refused: refused, now: time.Now, holders: map[*holder]struct{}{}}
+	return NewAccounts(limit, policy, refused, 1)[0]
+}
+
+// most returns the largest number of bytes that the account may hold now, times a fraction. The caller must hold a.mu.
+func (a *Account) most(fraction float64) int64 {
+	most := a.limit
+	for _, other := range a.accounts {
+		if other != a {
+			most -= max(other.guaranteed, other.used)
+		}
+	}
+	return int64(fraction * float64(most))
 }
 
 // Used returns the number of bytes in use.
@@ -106,7 +141,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.used+n > int64(reserveShare*float64(a.limit)) {
+	if a.used+n > a.most(reserveShare) {
 		return false
 	}
 	a.used += n
@@ -126,16 +161,16 @@
 // add registers a connection. It returns nil if there is no room for it.
 func (a *Account) add(closeConn func()) *holder {
 	h := &holder{account: a, closeConn: closeConn}
-	if !h.charge(connectionBytes, a.limit, NoRoomForConnection) {
+	if !h.charge(connectionBytes, 1, NoRoomForConnection) {
 		return nil
 	}
 	return h
 }
 
-// charge adds n bytes to what the connection holds if all connections together then hold at most limit. Otherwise it closes
-// connections that have waited for their callers for EvictAfter, those between requests last and the slowest first. It returns
+// charge adds n bytes to what the connection holds if all connections together then hold at most a fraction of what the account may
+// hold. Otherwise it closes connections that have waited for their callers for EvictAfter, those between requests last and the slowest first. It returns
 // false if that does not make enough room.
-func (h *holder) charge(n, limit int64, reason Reason) bool {
+func (h *holder) charge(n int64, fraction float64, reason Reason) bool {
 	a := h.account
 	a.mu.Lock()
 	if h.evicted {
@@ -143,6 +178,7 @@
 		return false
 	}
 	var victims []*holder
+	limit := a.most(fraction)
 	for a.used+n > limit {
 		victim := a.slowest(h)
 		if victim == nil {
--- a/core/services/intake/account_test.go
+++ b/core/services/intake/account_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// TestAccountsShareAPool guards against a crowd at one server that leaves no memory to another, and against memory that nobody may use.
+func TestAccountsShareAPool(t *testing.T) {
+	accounts := NewAccounts(100*connectionBytes, Policy{EvictAfter: time.Hour}, func(Reason) {}, 0.5, 0.2)
+	fill := func(a *Account) int {
+		n := 0
+		for a.add(func() {}) != nil {
+			n++
+		}
+		return n
+	}
+	if got := fill(accounts[0]); got != 80 {
+		t.Errorf("got %d connections at the first account, want 80: all but the share of the other", got)
+	}
+	if got := fill(accounts[1]); got != 20 {
+		t.Errorf("got %d connections at the second account, want its share of 20", got)
+	}
+	for h := range accounts[0].holders {
+		h.close()
+	}
+	if got := fill(accounts[1]); got != 30 {
+		t.Errorf("got %d further connections at the second account, want the 30 that no share has", got)
+	}
+	if got := fill(accounts[0]); got != 50 {
+		t.Errorf("got %d connections at the first account, want its share of 50", got)
+	}
+}
+
 // TestAccountAddsUp guards against charges that are lost or counted twice, whatever the order of events: they would refuse all
 // callers in time, or none.
 func TestAccountAddsUp(t *testing.T) {
@@ -90,7 +117,7 @@
 					holders = append(holders, h)
 				}
 			case kind == 1:
-				h.charge(n, limit, NoRoomForBody)
+				h.charge(n, 1, NoRoomForBody)
 			case kind == 2:
 				h.reset(0)
 			case kind == 3:
--- a/core/services/intake/conn.go
+++ b/core/services/intake/conn.go
@@ -122,10 +122,14 @@
 		}
 		return ctx
 	}
+	connState := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if own, ok := c.(*Conn); ok && state == http.StateIdle {
 			own.beginIdle()
 		}
+		if connState != nil {
+			connState(c, state)
+		}
 	}
 }
 
@@ -137,12 +141,12 @@
 
 // ChargeBody charges n bytes of a body. The charge lasts until the request ends.
 func (c *Conn) ChargeBody(n int64) bool {
-	return c == nil || c.holder.charge(n, int64(c.policy.BodyShare*float64(c.holder.account.limit)), NoRoomForBody)
+	return c == nil || c.holder.charge(n, c.policy.BodyShare, NoRoomForBody)
 }
 
 // ChargeResponse charges the response to the request.
 func (c *Conn) ChargeResponse() bool {
-	return c == nil || c.holder.charge(ResponseBytes, c.holder.account.limit, NoRoomForResponse)
+	return c == nil || c.holder.charge(ResponseBytes, 1, NoRoomForResponse)
 }
 
 // BodyTimeout returns the bound on the time until the buffered part of a body has been received, or fallback for a nil Conn.
@@ -159,7 +163,7 @@
 	c.phase, c.used, c.reads.bytes, c.reads.waited = bodyPhase, true, 0, 0
 	c.mu.Unlock()
 	c.holder.reset(0)
-	return c.holder.charge(cost, c.holder.account.limit, NoRoomForHead)
+	return c.holder.charge(cost, 1, NoRoomForHead)
 }
 
 // beginIdle releases the memory of the request that has ended, and charges what may have been read of the next one.
@@ -229,7 +233,7 @@
 		return c.refuse(tooManyFieldsResponse)
 	}
 	cost := HeadCost(c.headBytes, c.headLines)
-	if !c.holder.charge(cost-c.headCharged, c.holder.account.limit, NoRoomForHead) {
+	if !c.holder.charge(cost-c.headCharged, 1, NoRoomForHead) {
 		return c.refuse(noRoomResponse)
 	}
 	c.headCharged = cost
--- a/core/settings/edge_test.go
+++ b/core/settings/edge_test.go
@@ -30,7 +30,7 @@
 		"placement.candidates":       {"store:", "placement: {candidates: 0}\nstore:"},
 		"requests.max-tries":         {"store:", "requests: {max-tries: 0}\nstore:"},
 		"intake.memory-fraction":     {"store:", "intake: {memory-fraction: 0}\nstore:"},
-		"intake.probe-share":         {"store:", "intake: {lookup-share: 0.9, probe-share: 0.2}\nstore:"},
+		"intake.request-share":       {"store:", "intake: {lookup-share: 0.4, probe-share: 0.2}\nstore:"},
 		"intake.evict-after":         {"store:", "intake: {evict-after: 1m}\nstore:"},
 		"intake.max-fields":          {"store:", "intake: {max-fields: 0}\nstore:"},
 		"bounds.retry-ratio":         {"store:", "bounds: {retry-ratio: -1}\nstore:"},
--- a/core/settings/intake.go
+++ b/core/settings/intake.go
@@ -5,9 +5,11 @@
 // EdgeIntake holds the limits on the memory that callers occupy, and on how slow they may be.
 type EdgeIntake struct {
 	// MemoryFraction is the fraction of memory.limit-mb that connections, heads, bodies and responses of callers may occupy on
-	// all servers together. LookupShare is the part of it for lookups, ProbeShare that for readiness checks and scrapes of
-	// metrics; the rest is for requests. BodyShare is the fraction of each part that bodies may fill.
+	// all servers together. RequestShare, LookupShare and ProbeShare are the parts of it that only requests, only lookups, and
+	// only readiness checks and scrapes of metrics may use; what they leave is for all. BodyShare is the fraction of what requests
+	// may use now that bodies may fill.
 	MemoryFraction float64 `yaml:"memory-fraction"`
+	RequestShare   float64 `yaml:"request-share"`
 	LookupShare    float64 `yaml:"lookup-share"`
 	ProbeShare     float64 `yaml:"probe-share"`
 	BodyShare      float64 `yaml:"body-share"`
@@ -24,7 +26,7 @@
 
 func defaultEdgeIntake() EdgeIntake {
 	return EdgeIntake{
-		MemoryFraction: 0.25, LookupShare: 0.15, ProbeShare: 0.05, BodyShare: 0.75, MaxFields: 2000, MinProgress: 1 << 10, StallTime: 10 * time.Second,
+		MemoryFraction: 0.25, RequestShare: 0.5, LookupShare: 0.2, ProbeShare: 0.05, BodyShare: 0.75, MaxFields: 2000, MinProgress: 1 << 10, StallTime: 10 * time.Second,
 		EvictAfter: time.Second, BodyTimeout: time.Minute,
 	}
 }
@@ -35,13 +37,15 @@
 		value   float64
 	}{
 		{"intake.memory-fraction", i.MemoryFraction},
+		{"intake.request-share", i.RequestShare},
 		{"intake.lookup-share", i.LookupShare},
 		{"intake.probe-share", i.ProbeShare},
 		{"intake.body-share", i.BodyShare},
 	} {
 		c.require(f.value > 0 && f.value < 1, f.setting, "must be above 0 and below 1")
 	}
-	c.require(i.LookupShare+i.ProbeShare < 1, "intake.probe-share", "must leave a part for requests beside intake.lookup-share")
+	c.require(i.RequestShare+i.LookupShare+i.ProbeShare <= 1, "intake.request-share",
+		"must be at most 1 together with intake.lookup-share and intake.probe-share")
 	c.require(i.MaxFields > 0, "intake.max-fields", "must be positive")
 	c.require(i.MinProgress > 0, "intake.min-progress", "must be a positive number of bytes")
 	c.require(i.StallTime > 0, "intake.stall-time", "must be a positive duration such as 10s")
