front: only slow uploads move the time limit of their route

Cause: operators count the time limit of a route from the arrival of a request. The limit began when the body was whole, for every upload, so one of 0.9 s was held up to 0.9 s longer than they want.

Ruled out: counting from the arrival always, with which an upload that takes longer than the limit of its route is never served.

Change: only uploads of a second or more move the limit.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -182,8 +182,16 @@
 	return nil
 }
 
-// allowForUpload makes the time limit of the route begin when the body has arrived. That of the caller still begins before it.
+// slowUpload is the time from which an upload is slow. Operators count the time limit of a route from the arrival of a request, which
+// holds for uploads that are not.
+const slowUpload = time.Second
+
+// allowForUpload makes the time limit of the route begin when the body has arrived, if its upload was slow. That of the caller still
+// begins before it.
 func allowForUpload(request *forward.Request, now time.Time) {
+	if now.Sub(request.Arrived) < slowUpload {
+		return
+	}
 	if request.Timeout > 0 {
 		request.Timeout = max(request.Timeout-now.Sub(request.Arrived), time.Nanosecond)
 	}
