front: only one reader of a request body while a response is sent

Callers saw: a whole 200 response. The target, which had responded before it had read a streamed body and read on, got the body without 262,145 bytes in the middle; in chunked encoding the body looked complete.

Cause: net/http discards up to 256 KiB of the rest of a request body when the head of the response is written, in competition with the goroutine that copies the body to the target. Only large responses to streamed bodies were affected, as the connection to the target is closed first for others.

Ruled out: a fault of target.Request.write (the bytes that it reads are written in order); the standalone product, which enables full duplex before it writes a response and whose body is closed under its lock when the handler returns (by reading).

Change: front.upload is the only reader of a body until the response has been written. Full duplex is enabled for requests with a body; finish ends the copy with an error before the server discards the rest, for at most 1 s. A response before the end of its request body says Connection: close and no longer waits for the caller. The limit on bodies no longer sets header fields of the response beside the goroutine that writes it; found by reading, no test shows it.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -73,7 +73,13 @@
 		<-early.done
 		result, arrived = early.result, early.arrived
 	} else {
+		body := newUpload(w, r)
+		defer body.finish()
 		result = t.handle(r.Context(), w, r, arrived)
+		if !body.complete.Load() {
+			// The next request on the connection would begin behind the rest of the body.
+			w.Header().Set("Connection", "close")
+		}
 	}
 	defer func() { t.meter.Observe(teamLabel(result.Team), result.Route, time.Since(arrived)) }()
 	if result.Refusal != nil {
@@ -134,7 +140,8 @@
 		if r.ContentLength > limit {
 			return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "the body is over the limit")
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		// Without w: the body may be read while the header fields of the response are written.
+		r.Body = http.MaxBytesReader(nil, r.Body, limit)
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(request.Arrived.Add(bodyTimeout))
