--- a/core/services/witness/contact.go
+++ b/core/services/witness/contact.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// maxGap is the longest time between two responses of the store within one period of contact. A store that is away for a
+// MaxGap is the longest time between two responses of the store within one period of contact. A store that is away for a
 // shorter time loses no entries of programs that renew them every second or less often.
-const maxGap = 1500 * time.Millisecond
+const MaxGap = 1500 * time.Millisecond
 
 // Contact records when the store responds to this instance. It is safe for concurrent use.
 type Contact struct {
@@ -16,7 +16,7 @@
 
 	mu sync.Mutex
 	// began is the boot time of the first response of the current period of contact, latest that of the last response.
-	// Successive responses of a period are at most maxGap apart. Both are zero before the first response.
+	// Successive responses of a period are at most MaxGap apart. Both are zero before the first response.
 	began, latest time.Duration
 	// ended is the boot time of the last response of the previous period; zero if there was none.
 	ended time.Duration
@@ -35,18 +35,18 @@
 		c.began = now
 		return 0
 	}
-	if now-previous > maxGap {
+	if now-previous > MaxGap {
 		c.began, c.ended = now, previous
 	}
 	return now - previous
 }
 
-// Unbroken returns how long the current period of contact has lasted; zero if the last response is older than maxGap.
+// Unbroken returns how long the current period of contact has lasted; zero if the last response is older than MaxGap.
 func (c *Contact) Unbroken() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	if c.latest == 0 || now-c.latest > maxGap {
+	if c.latest == 0 || now-c.latest > MaxGap {
 		return 0
 	}
 	return now - c.began
@@ -59,7 +59,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	if c.latest == 0 || now-c.latest > maxGap {
+	if c.latest == 0 || now-c.latest > MaxGap {
 		return now - c.latest
 	}
 	return now - c.ended
