intake: idle connections are charged for what is left of the last read only

Cause: an idle connection stayed charged for the whole last read, up to 8 KiB and its lines, although the request in it had ended. A request refused for lack of memory for its response had no line in the log.

Change: what follows the last empty line is charged, as only an incomplete head is held. The refusal takes the path of the others.

--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -100,14 +100,14 @@
 func (t *Router) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, arrived time.Time) forward.Result {
 	request, refused := t.parseRequest(w, r, arrived)
 	defer func() { t.bodies.release(request.Body) }()
+	if refused == nil && !intake.FromContext(ctx).ChargeResponse() {
+		refused = refuseNoRoom("the instance has no memory for the response")
+	}
 	if refused != nil {
 		t.logger.Info("request refused", zap.String("request", request.ID), zap.String("reason", string(refused.Reason)),
 			zap.Int("status", refused.Status), zap.Bool("not-run", true))
 		return forward.Result{Refusal: refused}
 	}
-	if !intake.FromContext(ctx).ChargeResponse() {
-		return forward.Result{Refusal: refuseNoRoom("the instance has no memory for the response")}
-	}
 	return t.forwarder.Forward(ctx, request)
 }
 
--- a/core/services/intake/conn.go
+++ b/core/services/intake/conn.go
@@ -52,7 +52,7 @@
 	// headBytes and headLines describe the part of the head that has been read, headCharged is what has been charged for it.
 	headBytes, headLines int
 	headCharged          int64
-	// lastBytes and lastLines describe the last read: the server may have read the beginning of the next head with it.
+	// lastBytes and lastLines describe the end of the last read, which may be the beginning of the next head.
 	lastBytes, lastLines int
 	reads, writes        progress
 }
@@ -217,7 +217,8 @@
 		}
 	}
 	if len(b) > 0 {
-		c.lastBytes, c.lastLines = len(b), bytes.Count(b, []byte("\n"))
+		end := afterLastHead(b)
+		c.lastBytes, c.lastLines = len(end), countLines(end)
 	}
 	if c.phase != idlePhase {
 		c.reads.record(len(b), time.Since(started), c.policy.MinProgress)
@@ -226,8 +227,8 @@
 		return err
 	}
 	c.phase = headPhase
-	c.headBytes += c.lastBytes
-	c.headLines += c.lastLines
+	c.headBytes += len(b)
+	c.headLines += countLines(b)
 	if c.headLines > c.policy.MaxFields {
 		c.holder.account.refused(TooManyFields)
 		return c.refuse(tooManyFieldsResponse)
@@ -240,6 +241,18 @@
 	return err
 }
 
+func countLines(b []byte) int { return bytes.Count(b, []byte("\n")) }
+
+// afterLastHead returns what follows the last empty line. Heads before it are complete, and are charged when they are handled.
+func afterLastHead(b []byte) []byte {
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.LastIndex(b, []byte(end)); i >= 0 {
+			b = b[i+len(end):]
+		}
+	}
+	return b
+}
+
 // record adds n bytes and the time for which they were waited for.
 func (p *progress) record(n int, waited time.Duration, minProgress int) {
 	p.bytes += n
--- a/core/services/intake/conn_test.go
+++ b/core/services/intake/conn_test.go
@@ -122,9 +122,6 @@
 					_, _ = io.WriteString(conn, c.later)
 				}
 			}
-			if got := s.requests.Load(); got != ran {
-				t.Errorf("got %d requests at the handler, want %d", got, ran)
-			}
 			if c.reason != "" {
 				s.expectReason(t, c.reason)
 			}
@@ -135,6 +132,33 @@
 			if got := s.account.Used(); got != 0 {
 				t.Errorf("got %d bytes in use after the connection has been closed, want 0", got)
 			}
+			if got := s.requests.Load(); got != ran {
+				t.Errorf("got %d requests at the handler, want %d", got, ran)
+			}
+		})
+	}
+}
+
+// TestIdleConnections guards against a connection that is charged for a request that has ended, and against one that is not charged
+// for the beginning of the next, which the server has read with the last.
+func TestIdleConnections(t *testing.T) {
+	begin := strings.TrimSuffix(head(100), "\r\n")
+	for name, c := range map[string]struct {
+		text string
+		want int64
+	}{
+		"nothing more":              {head(20), connectionBytes},
+		"two requests":              {head(20) + head(20), connectionBytes},
+		"the beginning of the next": {head(20) + begin, connectionBytes + HeadCost(len(begin), 102)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, 1<<20, testPolicy, func(http.ResponseWriter, *http.Request) {})
+			s.send(t, c.text)
+			for end := time.Now().Add(5 * time.Second); s.account.Used() != c.want; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("got %d bytes in use, want %d", s.account.Used(), c.want)
+				}
+			}
 		})
 	}
 }
