edge: limits of the intent on callers' connections, and a bound on their number

Cause: idleTimeoutS, headerTimeoutS and maxHeaderBytes of the intent were not read, idle connections were kept for two minutes, and nothing bounded the connections of callers, so that they used up the descriptors that the store, targets and new callers need.

Ruled out: applying the limits through http.Server, which reads them without a lock and so cannot follow an intent that changes; closing connections early at the limit (callers reuse them until four fifths of it).

Change: core/modules/connlimit applies the present limits to all open connections, bounds their number for each server, closes the connection that has been without a request for longest for a new one, and lets a new one wait if all have requests. Readiness then says no. Lookups have a bound of their own, as have the platform's probes.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -100,7 +100,9 @@
 	peerServer  *peer.Server
 	peerPool    *peer.Pool
 	meter       *meter.Meter
-	leaving     atomic.Bool
+	// callers is the server of callers.
+	callers server
+	leaving atomic.Bool
 }
 
 // New assembles an instance. headers holds the names of the headers that callers and targets use.
@@ -161,6 +163,7 @@
 		},
 	})
 	e.router = front.New(e.forwarder, headers, e.meter, logger)
+	e.callers = e.newCallerServer()
 	e.meter.Gauge("medlarpond_store_confirmed_seconds", func() float64 { return state.SinceConfirmed().Seconds() })
 	e.meter.Gauge("medlarpond_running_requests", func() float64 { return float64(e.router.Running()) })
 	return e
@@ -188,8 +191,10 @@
 	return time.Duration(confirmTimeoutFraction * float64(e.settings.Bounds.RevokeWithin))
 }
 
-// Ready reports whether callers may use this instance.
-func (e *Edge) Ready() bool { return !e.leaving.Load() && e.state.View().Intent != nil }
+// Ready reports whether callers may use this instance. They may not if it cannot accept their connections.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.state.View().Intent != nil && e.callers.connections.CanAccept()
+}
 
 // LookupResult holds the instances that a caller should use.
 type LookupResult struct {
@@ -247,15 +252,19 @@
 	debug.SetMemoryLimit(int64(e.settings.Memory.LimitFraction * float64(e.settings.Memory.LimitMB) * megabyte))
 	supervisor := duty.New(e.logger)
 	defer supervisor.Stop()
-	caller := e.server(e.router)
-	caller.ConnContext = e.router.ConnContext
-	auxiliary := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
+	caller := e.callers
+	auxiliary := []server{
+		e.newServer("lookup", p.Lookup, lookupShare, e.callerLimits), e.newServer("ready", p.Ready, probeShare, e.platformLimits),
+		e.newServer("metrics", http.HandlerFunc(e.writeMetrics), probeShare, e.platformLimits),
+	}
 	defer closeAll(auxiliary)
 	for _, s := range []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error { return caller.Serve(e.router.Listener(l)) }},
+		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error {
+			return caller.Server.Serve(e.router.Listener(caller.connections.Listener(l)))
+		}},
 		{"lookup-server", e.settings.Listen.Lookup, auxiliary[0].Serve},
 		{"ready-server", e.settings.Listen.Ready, auxiliary[1].Serve},
 		{"metrics-server", e.settings.Listen.Metrics, auxiliary[2].Serve},
@@ -280,6 +289,9 @@
 	}
 	defer e.peerServer.Close()
 	defer e.peerPool.Close()
+	for _, s := range append(auxiliary, caller) {
+		supervisor.Start(duty.Duty{Name: s.name + "-connections", Run: s.connections.Run})
+	}
 	supervisor.Start(duty.Duty{Name: "target-connections", Run: e.pool.Run})
 	supervisor.Start(duty.Duty{Name: "neighbors", Run: e.broadcaster.Run})
 	for _, d := range p.Duties {
@@ -287,11 +299,11 @@
 	}
 	e.logger.Info("instance started; accepting requests", zap.String("caller", e.settings.Listen.Caller))
 	<-ctx.Done()
-	e.stop(p, caller)
+	e.stop(p, caller.Server)
 	return nil
 }
 
-func closeAll(servers []*http.Server) {
+func closeAll(servers []server) {
 	for _, s := range servers {
 		_ = s.Close()
 	}
@@ -325,16 +337,6 @@
 	e.logger.Info("instance stopped serving requests", zap.Duration("after", time.Since(started)))
 }
 
-func (e *Edge) server(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: e.settings.Requests.HeaderTimeout,
-		IdleTimeout:       e.settings.Requests.IdleTimeout,
-		MaxHeaderBytes:    e.settings.Requests.MaxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(e.logger),
-	}
-}
-
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	e.meter.Write(w)
--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -64,10 +64,15 @@
 	HomeRegions []string
 }
 
-// Limits are the limits on the size of a request.
+// Limits are the limits on requests and the connections of callers.
 type Limits struct {
 	// BodyBytes is the largest size of a request body; zero sets no limit.
 	BodyBytes int64
+	// HeaderBytes is the largest size of a header section, HeaderTimeout bounds the time until it has been received, and
+	// IdleTimeout is how long a connection may stay open between requests. The settings apply for those that are zero.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Intent is one version of the wanted configuration; it is immutable.
--- a/core/routers/front/readahead.go
+++ b/core/routers/front/readahead.go
@@ -115,6 +115,9 @@
 	}, nil
 }
 
+// Unwrap returns the connection that c reads ahead of.
+func (c *callerConn) Unwrap() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	switch {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -61,6 +61,8 @@
 	// LimitFraction of it.
 	LimitMB       int     `yaml:"limit-mb"`
 	LimitFraction float64 `yaml:"limit-fraction"`
+	// MaxDescriptors is the number of file descriptors that the process may have open; zero stands for the process's own limit.
+	MaxDescriptors int `yaml:"max-descriptors"`
 	// CollectorPercent is how much the heap may grow between two garbage collections, in percent.
 	CollectorPercent int `yaml:"collector-percent"`
 }
@@ -135,6 +137,7 @@
 
 // EdgeRequests holds the limits on requests.
 type EdgeRequests struct {
+	// HeaderTimeout, IdleTimeout and MaxHeaderBytes apply unless the intent sets other limits for callers.
 	HeaderTimeout  time.Duration `yaml:"header-timeout"`
 	IdleTimeout    time.Duration `yaml:"idle-timeout"`
 	MaxHeaderBytes int           `yaml:"max-header-bytes"`
@@ -243,6 +246,7 @@
 	c.require(e.Capacity.CPUShare >= 0 && e.Capacity.CPUShare <= 1, "capacity.cpu-share", "must be from 0 to 1")
 	c.require(e.Capacity.Cores >= 0, "capacity.cores", "must not be negative")
 	c.require(e.Capacity.LinkMbps >= 0, "capacity.link-mbps", "must not be negative")
+	c.require(e.Memory.MaxDescriptors >= 0, "memory.max-descriptors", "must not be negative")
 	c.require(e.Memory.LimitMB > 0, "memory.limit-mb", "must be a positive number of megabytes")
 	c.require(e.Memory.LimitFraction > 0 && e.Memory.LimitFraction <= 1, "memory.limit-fraction", "must be above 0, at most 1")
 	for _, n := range []struct {
