forward: routes ask for no key if the intent has no teams

Callers saw: 401 for every request without a key after a new intent without teams, while it was in force.

Cause: authorize asked for a key on every route that is not public, and the decoder did not keep whether the intent has the field.

Ruled out: treating an empty list like a missing field, as removing the last team would open all routes; serving without contact with the store, as teams may have been added meanwhile.

Such routes are served without a key while the instance is in contact with the store; requests are judged by the intent that they began with.

--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -77,10 +77,12 @@
 
 // Intent is one version of the wanted configuration; it is immutable.
 type Intent struct {
-	Version  uint64
-	Limits   Limits
-	services map[string]Service
-	teams    map[string]Team
+	Version uint64
+	Limits  Limits
+	// WithoutKeys is true if no route asks for an API key.
+	WithoutKeys bool
+	services    map[string]Service
+	teams       map[string]Team
 	// keys maps each API key to the name of its team.
 	keys map[string]string
 	// hosts maps each host to its routes, the longest prefix first.
@@ -94,11 +96,13 @@
 
 // Content is the input from which New builds an intent.
 type Content struct {
-	Version  uint64
-	Limits   Limits
-	Routes   []Route
-	Services []Service
-	Teams    []Team
+	Version uint64
+	Limits  Limits
+	// WithoutKeys is true if no route asks for an API key. There are no teams and keys then.
+	WithoutKeys bool
+	Routes      []Route
+	Services    []Service
+	Teams       []Team
 	// Keys maps each API key to the name of its team.
 	Keys map[string]string
 }
@@ -106,10 +110,13 @@
 // New validates the content and returns it as an intent.
 func New(c Content) (*Intent, error) {
 	i := &Intent{
-		Version: c.Version, Limits: c.Limits, keys: c.Keys,
+		Version: c.Version, Limits: c.Limits, WithoutKeys: c.WithoutKeys, keys: c.Keys,
 		services: map[string]Service{}, teams: map[string]Team{}, hosts: map[string][]*Route{},
 		routePriorities: map[string][]int{}, homeRegionShares: computeHomeRegionShares(c.Teams),
 	}
+	if c.WithoutKeys && len(c.Teams) > 0 {
+		return nil, fmt.Errorf("routes ask for no API key although there are %d teams", len(c.Teams))
+	}
 	for _, s := range c.Services {
 		i.services[s.Name] = s
 	}
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -272,14 +272,17 @@
 	return nil
 }
 
-// authorize determines the team of the API key. Keys are accepted only while contact with the store is recent enough,
-// as a key may have been revoked since the last contact. Teams with a rate limit are refused while no instance is known to be
-// registered, as nothing tells how many instances share the limit.
+// authorize determines the team of the API key, if the intent asks for one. Requests are accepted only while contact with the
+// store is recent enough, as a key may have been revoked, or teams may have been added, since the last contact. Teams with a rate
+// limit are refused while no instance is known to be registered, as nothing tells how many instances share the limit.
 func (f *Forwarder) authorize(c *call) *refusal.Refusal {
 	if f.State.SinceConfirmed() > f.Policy.ConfirmTimeout {
 		return refusal.New(http.StatusServiceUnavailable, refusal.Unconfirmed,
 			"this instance has lost contact with the store").WithRetryAfter(retryAfterUnready)
 	}
+	if c.view.Intent.WithoutKeys {
+		return nil
+	}
 	if c.Key == "" {
 		return refusal.New(http.StatusUnauthorized, refusal.NoKey, "this route needs a key")
 	}
