connlimit: a test that fails instead of waiting for its end

TestOldestIdleConnectionMakesRoom waited for a status that it had already received if a connection over the bound was served; with the mutant that closes the youngest idle connection it ran into its timeout of 90 s. It now ends at that check. Nothing else changed.

--- a/core/modules/connlimit/connlimit_test.go
+++ b/core/modules/connlimit/connlimit_test.go
@@ -156,7 +156,7 @@
 	go func() { served <- last.request("/", "") }()
 	select {
 	case status := <-served:
-		t.Errorf("got status %d on a connection over the bound while the others have requests", status)
+		t.Fatalf("got status %d on a connection over the bound while the others have requests", status)
 	case <-time.After(200 * time.Millisecond):
 	}
 	if s.limiter.CanAccept() {
