--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -28,7 +28,6 @@
 	"medlarpond.dev/core/services/crash"
 	"medlarpond.dev/core/services/forward"
 	"medlarpond.dev/core/services/hedge"
-	"medlarpond.dev/core/services/intake"
 	"medlarpond.dev/core/services/neighbor"
 	"medlarpond.dev/core/services/placement"
 	"medlarpond.dev/core/services/ratepool"
@@ -108,7 +107,9 @@
 	ratePeers *peer.Pool
 	meter     *meter.Meter
 	accounts  accounts
-	leaving   atomic.Bool
+	// callers is the server of callers.
+	callers server
+	leaving atomic.Bool
 }
 
 // New assembles an instance. headers holds the names of the headers that callers and targets use.
@@ -167,6 +168,7 @@
 	})
 	e.router = front.New(e.forwarder, headers, e.meter, logger)
 	e.accounts = newAccounts(s, e.meter, logger, e.router)
+	e.callers = e.newCallerServer()
 	e.meter.Gauge("medlarpond_store_confirmed_seconds", func() float64 { return state.SinceConfirmed().Seconds() })
 	e.meter.Gauge("medlarpond_running_requests", func() float64 { return float64(e.router.Running()) })
 	return e
@@ -228,8 +230,10 @@
 	return time.Duration(confirmTimeoutFraction * float64(e.settings.Bounds.RevokeWithin))
 }
 
-// Ready reports whether callers may use this instance.
-func (e *Edge) Ready() bool { return !e.leaving.Load() && e.state.View().Intent != nil }
+// Ready reports whether callers may use this instance. They may not if it cannot accept their connections.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.state.View().Intent != nil && e.callers.connections.CanAccept()
+}
 
 // LookupResult holds the instances that a caller should use.
 type LookupResult struct {
@@ -302,22 +306,21 @@
 	debug.SetMemoryLimit(int64(e.settings.Memory.LimitFraction * float64(e.settings.Memory.LimitMB) * megabyte))
 	supervisor := duty.New(e.logger)
 	defer supervisor.Stop()
-	caller := e.server(e.router)
-	caller.ConnContext = e.router.ConnContext
-	e.accounts.requests.Configure(caller)
-	auxiliary := []*http.Server{e.server(p.Lookup), e.server(p.Ready), e.server(http.HandlerFunc(e.writeMetrics))}
-	for n, account := range []*intake.Account{e.accounts.lookups, e.accounts.probes, e.accounts.probes} {
-		account.Configure(auxiliary[n])
+	caller := e.callers
+	auxiliary := []server{
+		e.newServer("lookup", p.Lookup, lookupShare, e.callerLimits, e.accounts.lookups),
+		e.newServer("ready", p.Ready, probeShare, e.platformLimits, e.accounts.probes),
+		e.newServer("metrics", http.HandlerFunc(e.writeMetrics), probeShare, e.platformLimits, e.accounts.probes),
 	}
 	defer closeAll(auxiliary)
 	for _, s := range []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"caller-server", e.settings.Listen.Caller, func(l net.Listener) error { return caller.Serve(e.accounts.requests.Listener(e.router.Listener(l))) }},
-		{"lookup-server", e.settings.Listen.Lookup, func(l net.Listener) error { return auxiliary[0].Serve(e.accounts.lookups.Listener(l)) }},
-		{"ready-server", e.settings.Listen.Ready, func(l net.Listener) error { return auxiliary[1].Serve(e.accounts.probes.Listener(l)) }},
-		{"metrics-server", e.settings.Listen.Metrics, func(l net.Listener) error { return auxiliary[2].Serve(e.accounts.probes.Listener(l)) }},
+		{"caller-server", e.settings.Listen.Caller, caller.Serve},
+		{"lookup-server", e.settings.Listen.Lookup, auxiliary[0].Serve},
+		{"ready-server", e.settings.Listen.Ready, auxiliary[1].Serve},
+		{"metrics-server", e.settings.Listen.Metrics, auxiliary[2].Serve},
 		{"peer-server", e.settings.Listen.Peer, e.peerServer.Serve},
 	} {
 		if s.address == "" {
@@ -340,6 +343,9 @@
 	defer e.peerServer.Close()
 	defer e.peerPool.Close()
 	defer e.ratePeers.Close()
+	for _, s := range append(auxiliary, caller) {
+		supervisor.Start(duty.Duty{Name: s.name + "-connections", Run: s.connections.Run})
+	}
 	supervisor.Start(duty.Duty{Name: "target-connections", Run: e.pool.Run})
 	supervisor.Start(duty.Duty{Name: "neighbors", Run: e.broadcaster.Run})
 	supervisor.Start(duty.Duty{Name: "shared-rates", Run: e.rates.Run})
@@ -348,11 +354,11 @@
 	}
 	e.logger.Info("instance started; accepting requests", zap.String("caller", e.settings.Listen.Caller))
 	<-ctx.Done()
-	e.stop(p, caller)
+	e.stop(p, caller.Server)
 	return nil
 }
 
-func closeAll(servers []*http.Server) {
+func closeAll(servers []server) {
 	for _, s := range servers {
 		_ = s.Close()
 	}
@@ -386,16 +392,6 @@
 	e.logger.Info("instance stopped serving requests", zap.Duration("after", time.Since(started)))
 }
 
-func (e *Edge) server(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: e.settings.Requests.HeaderTimeout,
-		IdleTimeout:       e.settings.Requests.IdleTimeout,
-		MaxHeaderBytes:    e.settings.Requests.MaxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(e.logger),
-	}
-}
-
 func (e *Edge) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	e.meter.Write(w)
--- a/core/models/intent/intent.go
+++ b/core/models/intent/intent.go
@@ -66,18 +66,25 @@
 	HomeRegions []string
 }
 
-// Limits are the limits on the size of a request.
+// Limits are the limits on requests and the connections of callers.
 type Limits struct {
 	// BodyBytes is the largest size of a request body; zero sets no limit.
 	BodyBytes int64
+	// HeaderBytes is the largest size of a header section, HeaderTimeout bounds the time until it has been received, and
+	// IdleTimeout is how long a connection may stay open between requests. The settings apply for those that are zero.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Intent is one version of the wanted configuration; it is immutable.
 type Intent struct {
-	Version  uint64
-	Limits   Limits
-	services map[string]Service
-	teams    map[string]Team
+	Version uint64
+	Limits  Limits
+	// WithoutKeys is true if no route asks for an API key.
+	WithoutKeys bool
+	services    map[string]Service
+	teams       map[string]Team
 	// keys maps each API key to the name of its team.
 	keys map[string]string
 	// hosts maps each host to its routes, the longest prefix first.
@@ -91,11 +98,13 @@
 
 // Content is the input from which New builds an intent.
 type Content struct {
-	Version  uint64
-	Limits   Limits
-	Routes   []Route
-	Services []Service
-	Teams    []Team
+	Version uint64
+	Limits  Limits
+	// WithoutKeys is true if no route asks for an API key. There are no teams and keys then.
+	WithoutKeys bool
+	Routes      []Route
+	Services    []Service
+	Teams       []Team
 	// Keys maps each API key to the name of its team.
 	Keys map[string]string
 }
@@ -103,10 +112,13 @@
 // New validates the content and returns it as an intent.
 func New(c Content) (*Intent, error) {
 	i := &Intent{
-		Version: c.Version, Limits: c.Limits, keys: c.Keys,
+		Version: c.Version, Limits: c.Limits, WithoutKeys: c.WithoutKeys, keys: c.Keys,
 		services: map[string]Service{}, teams: map[string]Team{}, hosts: map[string][]*Route{},
 		routePriorities: map[string][]int{}, homeRegionShares: computeHomeRegionShares(c.Teams),
 	}
+	if c.WithoutKeys && len(c.Teams) > 0 {
+		return nil, fmt.Errorf("routes ask for no API key although there are %d teams", len(c.Teams))
+	}
 	for _, s := range c.Services {
 		i.services[s.Name] = s
 	}
--- a/core/services/intake/conn.go
+++ b/core/services/intake/conn.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// Unwrap returns the connection that c charges for.
+func (c *Conn) Unwrap() net.Conn { return c.Conn }
+
 // FromContext returns the connection of a request, or nil.
 func FromContext(ctx context.Context) *Conn {
 	c, _ := ctx.Value(connKey{}).(*Conn)
