--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -76,8 +76,10 @@
 		Bounds:   settings.EdgeBounds{RevokeWithin: 5 * time.Second, ContactWithin: 3 * time.Second},
 	}, forward.Headers{}, zap.NewNop())
 	e.State().SetInstances([]roster.Instance{
-		{ID: "large", Place: place, Capacity: 0.8}, {ID: "self", Place: place, Capacity: 0.8},
-		{ID: "small-1", Place: place, Capacity: 0.04}, {ID: "small-2", Place: place, Capacity: 0.05},
+		{ID: "large", Place: place, Capacity: 0.8},
+		{ID: "self", Place: place, Capacity: 0.8},
+		{ID: "small-1", Place: place, Capacity: 0.04},
+		{ID: "small-2", Place: place, Capacity: 0.05},
 	})
 	locate := func() (ids []string) {
 		for _, i := range e.Locate(place).Instances {
--- a/core/services/forward/forward.go
+++ b/core/services/forward/forward.go
@@ -110,7 +110,7 @@
 	// shutdown is nil until the instance starts to stop.
 	shutdown atomic.Pointer[shutdown]
 	// attempts is done when a shutdown ends all attempts, by calling endAttempts.
-	attempts    context.Context
+	attempts    context.Context //nolint:containedctx // bounds all attempts of the process, not one call
 	endAttempts context.CancelFunc
 	// history counts the attempts of requests by historyKey. Hash values of requests use hashSeed.
 	history  *crash.History
