review: show that answers of requests sent ahead are lost behind a slow one

A large answer that waits for its turn is cut at the deadline of its request, and the connection is closed with the answers behind it.

--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -274,6 +274,8 @@
 	work    time.Duration
 	// before is called when a request begins to run; it may end the server.
 	before func(s *server, r *http.Request)
+	// answer answers a request that runs, in place of the usual answer.
+	answer func(s *server, w http.ResponseWriter, r *http.Request)
 	born   int64
 
 	mu      sync.Mutex
@@ -345,6 +347,10 @@
 	if s.before != nil {
 		s.before(s, r)
 	}
+	if s.answer != nil {
+		s.answer(s, w, r)
+		return
+	}
 	if s.work > 0 {
 		select {
 		case <-time.After(s.work):
