--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -178,7 +178,7 @@
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	output, err := os.OpenFile(filepath.Join(i.env.temp, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
 	if err != nil {
 		return err
 	}
