--- a/review/second/kit.go
+++ b/review/second/kit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -104,13 +105,25 @@
 	exit                          string
 }
 
+// usedPorts holds the ports that freePort has returned.
+var usedPorts = map[int]bool{}
+
+// freePort returns a free port below those that the system gives to outgoing connections, so that none takes it before the process
+// listens.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0
+	for {
+		port := 12_000 + rand.IntN(18_000)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		usedPorts[port] = true
+		return port
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 // addInstance prepares an instance with the settings of the site ghasbox in DEPLOY.md.
@@ -184,7 +197,7 @@
 	}
 	c := exec.Command(filepath.Join("target", "medlarpond"), "edge")
 	c.Dir, c.Stdout, c.Stderr = i.env.root, output, output
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "MEDLARPOND_BOOT=" + i.settings}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", names["settings"] + "=" + i.settings}
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
@@ -287,7 +300,7 @@
 // start serves at the address, or a free one, and registers the server.
 func (s *server) start() error {
 	if s.address == "" {
-		s.address = "127.0.0.1:0"
+		s.address = fmt.Sprintf("127.0.0.1:%d", freePort())
 	}
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
@@ -296,17 +309,14 @@
 	s.address, s.born = l.Addr().String(), time.Now().UnixMilli()
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
-	s.register("ready")
+	s.register()
 	return nil
 }
 
 // register writes the server's entry.
-func (s *server) register(state string) {
-	s.env.store.put("servers/"+s.id, map[string]any{
-		"address": s.address, "born": s.born,
-		"info":   map[string]any{"service": s.service, "version": "1", "zone": s.zone, "slots": s.slots},
-		"status": map[string]any{"state": state, "sequence": 1, "coldRemainingS": 0.0},
-	})
+func (s *server) register() {
+	s.env.store.put("servers/"+s.id, json.RawMessage(strings.NewReplacer("ADDRESS", s.address, "BORN", strconv.FormatInt(s.born, 10),
+		"SERVICE", s.service, "ZONE", s.zone, "SLOTS", strconv.Itoa(s.slots)).Replace(serverFile)))
 }
 
 // crash closes all sockets, as the end of a process does.
@@ -315,10 +325,10 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
-	h.Set("X-Medlarpond-Request-Id", r.Header.Get("X-Medlarpond-Request-Id"))
-	h.Set("X-Medlarpond-Instance-Id", s.id)
+	h.Set(names["id"], r.Header.Get(names["id"]))
+	h.Set(names["server"], s.id)
 	h.Set("Keep-Alive", "timeout=10")
-	if expected := r.Header.Get("X-Medlarpond-Expected-Instance"); expected != "" && expected != s.id {
+	if expected := r.Header.Get(names["expected"]); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -332,10 +342,10 @@
 		s.running++
 		s.runs++
 	}
-	h.Set("X-Medlarpond-Server-Load", fmt.Sprintf("%d,%d,%d", min(s.running, s.slots), max(0, s.running-s.slots), s.slots))
+	h.Set(names["load"], fmt.Sprintf("%d,%d,%d", min(s.running, s.slots), max(0, s.running-s.slots), s.slots))
 	s.mu.Unlock()
 	if full {
-		h.Set("X-Medlarpond-Not-Executed", "1")
+		h.Set(names["not-run"], "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -358,26 +368,6 @@
 			return
 		}
 	}
-	h.Set("X-Medlarpond-Response-Seal", "seal-"+s.id+"-"+r.Header.Get("X-Medlarpond-Request-Id"))
+	h.Set(names["seal"], "seal-"+s.id+"-"+r.Header.Get(names["id"]))
 	_, _ = fmt.Fprintf(w, "%s %s %d\n", r.Method, r.URL.Path, len(body))
 }
-
-// desiredState returns a desired state like that of the page, with one host and one service.
-func desiredState(version int, routes []map[string]any) map[string]any {
-	return map[string]any{
-		"version": version,
-		"services": []any{map[string]any{
-			"name": "desk", "healthPath": "/health", "maxConnections": 390, "protocol": "h1", "tls": false, "coldS": 3.0, "coldPerS": 2.7,
-		}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"tenants": []any{map[string]any{"name": "kaje80", "apiKeys": []string{"b9wu3fexd9dnn2ctnfzs"}, "priority": 1, "ratePerS": 0, "burst": 0, "homeRegions": []string{}}},
-		"hosts":   []any{map[string]any{"host": "ficu95.example", "paths": routes}},
-	}
-}
-
-func route(prefix, kind string, timeoutS float64) map[string]any {
-	return map[string]any{
-		"name": "r-" + strings.Trim(prefix, "/"), "prefix": prefix, "kind": kind, "timeoutS": timeoutS, "targetLatencyS": 0.4, "priority": 1,
-		"service": "desk", "maxAttempts": 2, "public": false, "sticky": true, "homeRegions": []string{},
-	}
-}
--- a/review/second/proxy.go
+++ b/review/second/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"sync"
 )
@@ -16,7 +17,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePort()))
 	if err != nil {
 		return nil, err
 	}
--- a/review/second/store.go
+++ b/review/second/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -39,19 +40,19 @@
 }
 
 func newStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePort()))
 	if err != nil {
 		return nil, err
 	}
 	s := &store{changed: make(chan struct{}), revision: 1, items: map[string]item{}, leases: map[uint64]*lease{}, nextID: 100, listener: l}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.getKey)
-	mux.HandleFunc("GET /kv-range", s.getRange)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	mux.HandleFunc("POST /kv-txn", s.transact)
-	mux.HandleFunc("POST /kv-lease", s.createLease)
-	mux.HandleFunc("POST /kv-keep/{id}", s.keepLease)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.endLease)
+	mux.HandleFunc(names["get-key"], s.getKey)
+	mux.HandleFunc(names["get-range"], s.getRange)
+	mux.HandleFunc(names["watch"], s.watch)
+	mux.HandleFunc(names["transact"], s.transact)
+	mux.HandleFunc(names["create-lease"], s.createLease)
+	mux.HandleFunc(names["keep-lease"], s.keepLease)
+	mux.HandleFunc(names["end-lease"], s.endLease)
 	go func() { _ = http.Serve(l, mux) }()
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
@@ -235,7 +236,7 @@
 		return
 	}
 	for _, p := range t.Puts {
-		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+		if strings.HasPrefix(p.Key, names["operator-prefix"]) || strings.HasPrefix(p.Key, "servers/") {
 			respond(w, http.StatusForbidden, map[string]any{})
 			return
 		}
@@ -258,16 +259,14 @@
 }
 
 func (s *store) createLease(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		Seconds float64 `json:"ttlS_time"`
-	}
+	in := map[string]float64{}
 	_ = json.NewDecoder(r.Body).Decode(&in)
-	ttl := time.Duration(min(max(in.Seconds, 1), 600) * float64(time.Second))
+	ttl := time.Duration(min(max(in[names["lease-time"]], 1), 600) * float64(time.Second))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextID++
 	s.leases[s.nextID] = &lease{ttl: ttl, end: time.Now().Add(ttl)}
-	respond(w, http.StatusOK, map[string]any{"lease": s.nextID, "ttlS_time": ttl.Seconds()})
+	respond(w, http.StatusOK, map[string]any{"lease": s.nextID, names["lease-time"]: ttl.Seconds()})
 }
 
 func (s *store) keepLease(w http.ResponseWriter, r *http.Request) {
@@ -280,7 +279,7 @@
 		return
 	}
 	l.end = time.Now().Add(l.ttl)
-	respond(w, http.StatusOK, map[string]any{"lease": id, "ttlS_time": l.ttl.Seconds()})
+	respond(w, http.StatusOK, map[string]any{"lease": id, names["lease-time"]: l.ttl.Seconds()})
 }
 
 func (s *store) endLease(w http.ResponseWriter, r *http.Request) {
