--- a/review/second/turn.go
+++ b/review/second/turn.go
@@ -16,7 +16,7 @@
 
 // largeAnswer and usualAnswer are the sizes of the answers for the object largeObject of each batch and for the others, in bytes.
 const (
-	largeAnswer = 1_000_000
+	largeAnswer = 4_000_000
 	usualAnswer = 5_000
 	largeObject = 1
 	batchSize   = 8
@@ -83,7 +83,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	lost := 0
-	for round := range 3 {
+	for round := range 4 {
 		n, err := e.sendBatch(i, r, round)
 		if err != nil {
 			return false, err
