--- a/review/second/ahead.go
+++ b/review/second/ahead.go
@@ -41,7 +41,7 @@
 // of its machine it is killed, as the platform does, and the requests that are lost with it are counted. Without the disruption
 // each request waits for the answer to the one before it.
 func runAhead(e *environment) (broken bool, err error) {
-	const memoryMB, duration = 284, 105 * time.Second
+	const memoryMB, duration = 284, 100 * time.Second
 	// The number of requests at a time is the same with and without the disruption.
 	connections, window := 16, 8
 	if !e.disrupted {
