--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-third review/third/*.go
--- /dev/null
+++ b/review/third/kit.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	zone   = "kol-salt"
+	region = "kolkata"
+	// readyTimeout bounds the start of an instance.
+	readyTimeout = 15 * time.Second
+)
+
+// run is one run of a case.
+type run struct {
+	// trouble is false if the disturbance is left out.
+	trouble bool
+	folder  string
+	store   *store
+	began   time.Time
+
+	mu        sync.Mutex
+	record    *os.File
+	processes []*exec.Cmd
+}
+
+// newRun starts a store with an intent and opens record.txt in the folder of the case.
+func newRun(caseFolder string) (*run, error) {
+	r := &run{trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+	var err error
+	if r.folder, err = os.MkdirTemp("", "review"); err != nil {
+		return nil, err
+	}
+	if r.record, err = os.Create(filepath.Join(caseFolder, "record.txt")); err != nil {
+		return nil, err
+	}
+	if r.store, err = newStore(); err != nil {
+		return nil, err
+	}
+	r.store.put(names.Keys.Intent, intentJSON)
+	return r, nil
+}
+
+// note writes a line to the record.
+func (r *run) note(format string, arguments ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.record, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, arguments...)...)
+}
+
+// start starts a process, which finish ends.
+func (r *run) start(c *exec.Cmd) error {
+	if err := c.Start(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.processes = append(r.processes, c)
+	r.mu.Unlock()
+	go func() { _ = c.Wait() }()
+	return nil
+}
+
+// finish ends all processes that the run has started.
+func (r *run) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.processes {
+		_ = c.Process.Kill()
+	}
+	_ = r.record.Close()
+	_ = os.RemoveAll(r.folder)
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// machine is what the settings of an instance say of its machine.
+type machine struct{ memoryMB, maxFds, cpuShare, linkMbps string }
+
+// smallMachine is a machine of the site ghasbox, smallestMachine the one with the least memory that the pages name (the sheet of
+// lakeshore-fixit-grown).
+var (
+	smallMachine    = machine{"284", "4100", "0.32", "1000.0"}
+	smallestMachine = machine{"136", "2870", "0.112", "10.0"}
+)
+
+// startInstance starts an instance by the command of the deploy file, with the settings that its template yields on a machine, and
+// returns its address for clients and its process once it is ready.
+func (r *run) startInstance(id string, m machine) (string, *os.Process, error) {
+	template, err := os.ReadFile("deploy/edge.yaml")
+	if err != nil {
+		return "", nil, err
+	}
+	addresses := map[string]string{}
+	for _, name := range []string{"front", "directory", "ready", "metrics", "peer"} {
+		if addresses[name], err = freeAddress(); err != nil {
+			return "", nil, err
+		}
+	}
+	settings := filepath.Join(r.folder, id+".yaml")
+	if err := os.WriteFile(settings, []byte(fill(string(template), id, m, addresses, r.store.address())), 0o600); err != nil {
+		return "", nil, err
+	}
+	output, err := os.Create(filepath.Join(r.folder, id+".log"))
+	if err != nil {
+		return "", nil, err
+	}
+	c := exec.Command("target/medlarpond", "edge")
+	c.Env = append(os.Environ(), names.SettingsVariable+"="+settings)
+	c.Stdout, c.Stderr = output, output
+	if err := r.start(c); err != nil {
+		return "", nil, err
+	}
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get("http://" + addresses["ready"] + names.Paths.Ready)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return addresses["front"], c.Process, nil
+			}
+		}
+	}
+	return "", nil, fmt.Errorf("instance %s is not ready", id)
+}
+
+// fill fills the settings template; the bounds are those of the site ghasbox.
+func fill(template, id string, m machine, addresses map[string]string, store string) string {
+	template = regexp.MustCompile(`(?s)\{\{#zones\}\}.*?\{\{/zones\}\}`).ReplaceAllString(template, `  "`+zone+`": "`+region+`"`)
+	template = strings.ReplaceAll(template, `"{{ip}}:{{internalPorts.0}}"`, `"`+addresses["metrics"]+`"`)
+	template = strings.ReplaceAll(template, `"{{ip}}:{{internalPorts.1}}"`, `"`+addresses["peer"]+`"`)
+	values := map[string]string{
+		"node": id, "region": region, "zone": zone, "platform.address": store,
+		"listen.front": addresses["front"], "listen.directory": addresses["directory"], "listen.ready": addresses["ready"],
+		"limits.memoryMb": m.memoryMB, "limits.maxFds": m.maxFds, "limits.cpuShare": m.cpuShare, "limits.cores": "1", "limits.linkMbps": m.linkMbps,
+		"bounds.graceS": "6", "bounds.revokeS": "5", "bounds.contactS": "3", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "62",
+		"bounds.quotaWindowS": "5", "bounds.quotaOverrun": "0.1", "bounds.quotaSlack": "20", "bounds.drainS": "2",
+		"bounds.evacuationS": "5", "bounds.maxShift": "0.15",
+	}
+	return regexp.MustCompile(`\{\{[a-zA-Z.]+(\|json)?\}\}`).ReplaceAllStringFunc(template, func(placeholder string) string {
+		name, isJSON := strings.CutSuffix(strings.Trim(placeholder, "{}"), "|json")
+		if isJSON {
+			return `"` + values[name] + `"`
+		}
+		return values[name]
+	})
+}
+
+// kill kills a process as a crash does.
+func kill(c *exec.Cmd) { _ = c.Process.Signal(syscall.SIGKILL) }
