--- a/review/third/main.go
+++ b/review/third/main.go
@@ -16,6 +16,7 @@
 // cases holds the function of each case.
 var cases = map[string]func(*run) (broken bool, err error){
 	"ahead":     runAhead,
+	"overdue":   runOverdue,
 	"truncated": runTruncated,
 }
 
--- a/review/third/truncated.go
+++ b/review/third/truncated.go
@@ -102,7 +102,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.store.put(names.Keys.Servers+id, serverEntry(address, zone, time.Now().UnixMilli()))
+	t.store.put(names.Keys.Servers+id, serverEntry("orders", address, zone, time.Now().UnixMilli()))
 	return &upstreamProcess{id: id, command: c}, nil
 }
 
