--- a/review/third/main.go
+++ b/review/third/main.go
@@ -15,8 +15,6 @@
 
 // cases holds the function of each case.
 var cases = map[string]func(*run) (broken bool, err error){
-	"ahead":     runAhead,
-	"overdue":   runOverdue,
 	"truncated": runTruncated,
 }
 
