--- a/review/third/store.go
+++ b/review/third/store.go
@@ -62,11 +62,6 @@
 	Remove   []string `json:"remove"`
 }
 
-type leaseMessage struct {
-	Seconds float64 `json:"ttlS_time"`
-	Lease   uint64  `json:"lease,omitempty"`
-}
-
 func newStore() (*store, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -238,7 +233,7 @@
 }
 
 func (s *store) handleCreateLease(w http.ResponseWriter, r *http.Request) {
-	var m leaseMessage
+	var m map[string]float64
 	if json.NewDecoder(r.Body).Decode(&m) != nil {
 		respond(w, http.StatusBadRequest, struct{}{})
 		return
@@ -246,10 +241,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	ttl := time.Duration(m.Seconds * float64(time.Second))
+	ttl := time.Duration(m[names.LeaseSeconds] * float64(time.Second))
 	s.leases[s.revision] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
-	m.Lease = s.revision
-	respond(w, http.StatusOK, m)
+	respond(w, http.StatusOK, map[string]any{names.LeaseSeconds: ttl.Seconds(), "lease": s.revision})
 }
 
 func (s *store) handleRenewLease(w http.ResponseWriter, r *http.Request) {
@@ -262,7 +256,7 @@
 		return
 	}
 	l.expires = time.Now().Add(l.ttl)
-	respond(w, http.StatusOK, leaseMessage{Seconds: l.ttl.Seconds()})
+	respond(w, http.StatusOK, map[string]any{names.LeaseSeconds: l.ttl.Seconds()})
 }
 
 func (s *store) handleEndLease(w http.ResponseWriter, r *http.Request) {
--- a/review/third/wire.go
+++ b/review/third/wire.go
@@ -20,9 +20,11 @@
 // names holds the names of the platform.
 var names = func() (n struct {
 	SettingsVariable string
-	Headers          struct{ RequestID, TimeLeft, Expected, Seal, NotRun string }
-	Paths            struct{ Range, Watch, Transaction, CreateLease, RenewLease, EndLease, Ready string }
-	Keys             struct{ Intent, Servers string }
+	// LeaseSeconds is the field that holds the time for which a lease is valid.
+	LeaseSeconds string
+	Headers      struct{ RequestID, TimeLeft, Expected, Seal, NotRun string }
+	Paths        struct{ Range, Watch, Transaction, CreateLease, RenewLease, EndLease, Ready string }
+	Keys         struct{ Intent, Servers string }
 }) {
 	if err := json.Unmarshal(namesJSON, &n); err != nil {
 		panic(err)
