--- a/review/third/kit.go
+++ b/review/third/kit.go
@@ -90,64 +90,54 @@
 	return l.Addr().String(), l.Close()
 }
 
-// machine is what the settings of an instance say of its machine.
-type machine struct{ memoryMB, maxFds, cpuShare, linkMbps string }
-
-// smallMachine is a machine of the site ghasbox, smallestMachine the one with the least memory that the pages name (the sheet of
-// lakeshore-fixit-grown).
-var (
-	smallMachine    = machine{"284", "4100", "0.32", "1000.0"}
-	smallestMachine = machine{"136", "2870", "0.112", "10.0"}
-)
-
-// startInstance starts an instance by the command of the deploy file, with the settings that its template yields on a machine, and
-// returns its address for clients and its process once it is ready.
-func (r *run) startInstance(id string, m machine) (string, *os.Process, error) {
+// startInstance starts an instance by the command of the deploy file, with the settings that its template yields on a machine
+// of the site ghasbox, and returns its address for clients once it is ready.
+func (r *run) startInstance(id string) (string, error) {
 	template, err := os.ReadFile("deploy/edge.yaml")
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	addresses := map[string]string{}
 	for _, name := range []string{"front", "directory", "ready", "metrics", "peer"} {
 		if addresses[name], err = freeAddress(); err != nil {
-			return "", nil, err
+			return "", err
 		}
 	}
 	settings := filepath.Join(r.folder, id+".yaml")
-	if err := os.WriteFile(settings, []byte(fill(string(template), id, m, addresses, r.store.address())), 0o600); err != nil {
-		return "", nil, err
+	if err := os.WriteFile(settings, []byte(fill(string(template), id, addresses, r.store.address())), 0o600); err != nil {
+		return "", err
 	}
 	output, err := os.Create(filepath.Join(r.folder, id+".log"))
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	c := exec.Command("target/medlarpond", "edge")
 	c.Env = append(os.Environ(), names.SettingsVariable+"="+settings)
 	c.Stdout, c.Stderr = output, output
 	if err := r.start(c); err != nil {
-		return "", nil, err
+		return "", err
 	}
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		response, err := http.Get("http://" + addresses["ready"] + names.Paths.Ready)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				return addresses["front"], c.Process, nil
+				return addresses["front"], nil
 			}
 		}
 	}
-	return "", nil, fmt.Errorf("instance %s is not ready", id)
+	return "", fmt.Errorf("instance %s is not ready", id)
 }
 
-// fill fills the settings template; the bounds are those of the site ghasbox.
-func fill(template, id string, m machine, addresses map[string]string, store string) string {
+// fill fills the settings template with the figures of the site ghasbox.
+func fill(template, id string, addresses map[string]string, store string) string {
 	template = regexp.MustCompile(`(?s)\{\{#zones\}\}.*?\{\{/zones\}\}`).ReplaceAllString(template, `  "`+zone+`": "`+region+`"`)
 	template = strings.ReplaceAll(template, `"{{ip}}:{{internalPorts.0}}"`, `"`+addresses["metrics"]+`"`)
 	template = strings.ReplaceAll(template, `"{{ip}}:{{internalPorts.1}}"`, `"`+addresses["peer"]+`"`)
 	values := map[string]string{
 		"node": id, "region": region, "zone": zone, "platform.address": store,
 		"listen.front": addresses["front"], "listen.directory": addresses["directory"], "listen.ready": addresses["ready"],
-		"limits.memoryMb": m.memoryMB, "limits.maxFds": m.maxFds, "limits.cpuShare": m.cpuShare, "limits.cores": "1", "limits.linkMbps": m.linkMbps,
+		"limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.32", "limits.cores": "1", "limits.linkMbps": "1000.0",
 		"bounds.graceS": "6", "bounds.revokeS": "5", "bounds.contactS": "3", "bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "62",
 		"bounds.quotaWindowS": "5", "bounds.quotaOverrun": "0.1", "bounds.quotaSlack": "20", "bounds.drainS": "2",
 		"bounds.evacuationS": "5", "bounds.maxShift": "0.15",
--- a/review/third/truncated.go
+++ b/review/third/truncated.go
@@ -51,7 +51,7 @@
 		}
 		running = append(running, u)
 	}
-	if t.client, _, err = r.startInstance("front-kol-salt-1", smallMachine); err != nil {
+	if t.client, err = r.startInstance("front-kol-salt-1"); err != nil {
 		return false, err
 	}
 	var sending sync.WaitGroup
@@ -102,7 +102,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.store.put(names.Keys.Servers+id, serverEntry("orders", address, zone, time.Now().UnixMilli()))
+	t.store.put(names.Keys.Servers+id, serverEntry(address, zone, time.Now().UnixMilli()))
 	return &upstreamProcess{id: id, command: c}, nil
 }
 
--- a/review/third/wire.go
+++ b/review/third/wire.go
@@ -33,6 +33,6 @@
 }()
 
 // serverEntry returns what an upstream writes about itself to the store.
-func serverEntry(service, address, zone string, bornMillis int64) string {
-	return strings.NewReplacer("SERVICE", service, "ADDRESS", address, "ZONE", zone, "BORN", strconv.FormatInt(bornMillis, 10)).Replace(serverJSON)
+func serverEntry(address, zone string, bornMillis int64) string {
+	return strings.NewReplacer("ADDRESS", address, "ZONE", zone, "BORN", strconv.FormatInt(bornMillis, 10)).Replace(serverJSON)
 }
