--- a/review/third/kit.go
+++ b/review/third/kit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,10 @@
 	region = "kolkata"
 	// readyTimeout bounds the start of an instance.
 	readyTimeout = 15 * time.Second
+	// firstPort and portCount are the range of the ports that processes listen on, portTries the tries to find a free one.
+	firstPort = 12_000
+	portCount = 18_000
+	portTries = 1_000
 )
 
 // run is one run of a case.
@@ -32,6 +37,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*exec.Cmd
+	ended     sync.WaitGroup
 }
 
 // newRun starts a store with an intent and opens record.txt in the folder of the case.
@@ -66,28 +72,41 @@
 	r.mu.Lock()
 	r.processes = append(r.processes, c)
 	r.mu.Unlock()
-	go func() { _ = c.Wait() }()
+	r.ended.Go(func() { _ = c.Wait() })
 	return nil
 }
 
-// finish ends all processes that the run has started.
+// finish ends all processes that the run has started, and returns when they have ended.
 func (r *run) finish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.processes {
 		_ = c.Process.Kill()
 	}
+	r.ended.Wait()
 	_ = r.record.Close()
 	_ = os.RemoveAll(r.folder)
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// usedPorts holds the ports that freeAddress has returned.
+var usedPorts = map[int]bool{}
+
+// freeAddress returns a loopback address that nobody listens on. Its port lies below those of outgoing connections, so that none
+// takes it before the process listens. It must not be called concurrently.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		port := firstPort + rand.IntN(portCount)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		usedPorts[port] = true
+		return l.Addr().String(), l.Close()
 	}
-	return l.Addr().String(), l.Close()
+	return "", fmt.Errorf("no free port after %d tries", portTries)
 }
 
 // startInstance starts an instance by the command of the deploy file, with the settings that its template yields on a machine
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -37,6 +39,13 @@
 		return exitNotRun
 	}
 	defer r.finish()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		r.finish()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[arguments[0]](r)
 	switch {
 	case err != nil:
