target: report a reset to reads also after a write has received it

Cause: the kernel reports the reset of a connection once, to the write of the request or to the read of the response, whichever makes its system call first. If the write gets it, the read sees the end of the stream, which ends a response without a length. The result of writing was used only to decide that the connection is not kept.

Ruled out: responses with a length or in chunks, which fail when they end early; looking at the result of writing when the body ends, as the goroutine that writes may not have returned yet.

Change: stickyErrorConn keeps the error of a write and returns it from a read in place of the end of the stream, after waiting for a write in progress. EPIPE is not kept: the kernel reports it for a reset after the end of the stream, when the response is whole. The connections of target.Sender, which has the same fault with http.Transport, use it as well.

--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -339,8 +339,8 @@
 
 func (c *conn) readBody(response *http.Response) (*Response, bool, error) {
 	r := &Response{Status: response.StatusCode, Header: response.Header}
-	// The body may have no announced length. A connection reset makes ReadAll fail, so that a truncated body is not
-	// taken for a complete one.
+	// The body may have no announced length. A reset of the connection is an error of the read and not the end of the body, see
+	// stickyErrorConn.
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
 	if err != nil {
 		return nil, false, err
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -115,6 +115,7 @@
 }
 
 func newConn(netConn net.Conn) *conn {
+	netConn = &stickyErrorConn{Conn: netConn}
 	bound := &boundedReader{source: netConn}
 	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}
 }
--- a/core/services/target/sender.go
+++ b/core/services/target/sender.go
@@ -223,7 +223,13 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &stickyErrorConn{Conn: c}, nil
+		},
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    maxIdlePerTransport,
 		IdleConnTimeout:        idleConnTimeout,
