routers: reset the connection of an HTTP/1.0 caller whose response is cut

A caller with HTTP/1.0 got a part of a response and the end of the connection, which ends a response without a length.

Cause: both routers ended interrupted responses with http.ErrAbortHandler, which closes the connection in order. Only HTTP/1.1 has a last chunk that is missing then.

Ruled out: responses with HTTP/1.1 and Connection: close, which have a length or chunks (TestOutcomes, TestTargetFaults).

Change: abort.Response ends interrupted responses for both routers and resets the connection of a caller with HTTP/1.0. The connections of connlimit can be unwrapped for it.

--- a/core/modules/connlimit/connlimit.go
+++ b/core/modules/connlimit/connlimit.go
@@ -326,6 +326,9 @@
 	return c.Conn.Close()
 }
 
+// Unwrap returns the connection that is bounded.
+func (c *conn) Unwrap() net.Conn { return c.Conn }
+
 // CloseWrite implements the closing of one direction, with which http.Server ends a connection gently.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/core/routers/caller/caller.go
+++ b/core/routers/caller/caller.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"medlarpond.dev/core/modules/abort"
 	"medlarpond.dev/core/modules/meter"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/dispatch"
@@ -132,7 +133,7 @@
 	_ = controller.SetWriteDeadline(result.Deadline.Add(writeGrace))
 	// The response may start while the request body is still being read.
 	_ = controller.EnableFullDuplex()
-	t.writeResponse(w, result.Response)
+	t.writeResponse(w, r, result.Response)
 	complete = true
 	_ = controller.SetWriteDeadline(time.Time{})
 }
@@ -144,7 +145,7 @@
 
 // writeResponse copies the target's response to the caller. If the response is interrupted, the connection to the
 // caller is closed, so that a truncated response never looks complete.
-func (t *Router) writeResponse(w http.ResponseWriter, response *http.Response) {
+func (t *Router) writeResponse(w http.ResponseWriter, r *http.Request, response *http.Response) {
 	defer func() { _ = response.Body.Close() }()
 	h := w.Header()
 	target.RemoveHopByHop(response.Header)
@@ -157,7 +158,7 @@
 	w.WriteHeader(response.StatusCode)
 	if err := t.copyBody(w, response); err != nil {
 		t.logger.Info("response interrupted; closing the connection to the caller", zap.Error(err))
-		panic(http.ErrAbortHandler)
+		abort.Response(w, r)
 	}
 	for name, values := range response.Trailer {
 		h[name] = values
--- a/core/routers/caller/caller_test.go
+++ b/core/routers/caller/caller_test.go
@@ -378,3 +378,26 @@
 		}
 	}
 }
+
+// TestCutResponseToHTTP10 guards against a response without a length that its target resets and that looks complete to a caller that
+// uses HTTP/1.0, as the end of its connection ends the body.
+func TestCutResponseToHTTP10(t *testing.T) {
+	const part = 100_000
+	target := newTarget(t, func(c net.Conn, _, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("a", part))
+		time.Sleep(100 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	f := newCluster(t, 1, deskResources(5*time.Second, target)...)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.urls[0], "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(c, "GET /hours HTTP/1.0\r\nHost: h\r\n\r\n")
+	if response, err := io.ReadAll(c); err == nil || len(response) == 0 {
+		t.Errorf("got %d bytes and error %v, want a part of the response and a reset", len(response), err)
+	}
+}
--- a/core/routers/front/front.go
+++ b/core/routers/front/front.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"medlarpond.dev/core/modules/abort"
 	"medlarpond.dev/core/modules/meter"
 	"medlarpond.dev/core/modules/refusal"
 	"medlarpond.dev/core/services/forward"
@@ -99,7 +100,7 @@
 		return
 	}
 	t.meter.Count("medlarpond_answers_total", "status", strconv.Itoa(result.Response.Status))
-	t.writeResponse(w, result.Response, id)
+	t.writeResponse(w, r, result.Response, id)
 }
 
 // handle parses and forwards a request.
@@ -207,7 +208,7 @@
 
 // writeResponse sends the response of a target to the caller. If the response is interrupted, the connection to the
 // caller is closed, so that the caller notices.
-func (t *Router) writeResponse(w http.ResponseWriter, response *target.Response, requestID string) {
+func (t *Router) writeResponse(w http.ResponseWriter, r *http.Request, response *target.Response, requestID string) {
 	target.RemoveHopByHop(response.Header)
 	response.Header.Del("Content-Length")
 	h := w.Header()
@@ -225,7 +226,7 @@
 	}
 	if _, err := io.Copy(destination, source); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		t.logger.Info("response interrupted; closing the connection to the caller", zap.String("request", requestID), zap.Error(err))
-		panic(http.ErrAbortHandler)
+		abort.Response(w, r)
 	}
 }
 
