allowance: bound the requests of a team in every interval, so that a restart does not renew them

Cause: a sliding window permits its whole content at once. A process that is killed may have used it just before, and its successor, which does not know, admits what accrues in the rest of the window. The pacing of sudden overloads began at 1.2 times the rate beyond a whole burst, or ten requests, in a second; the load of the case stays below that for 8 s.

Ruled out: wrong counts of instances after the restart; shared rates, which start with empty buckets (ratepool.TestKillOfAllDoesNotRenewTheLimit holds on the code before, too).

Change: every interval of t seconds, up to a window, has at most burst + rate x t requests of a team at an instance, and a new process admits rate x its age. So an interval around any kills keeps the bound of one process. A window has as many requests as before. The pacing of sudden overloads is no longer needed. Small parts permit few requests at once; teams with parts below 20 requests in a window (4 before) share theirs.

TestTeamRateLimit expected a process to admit a request at the moment at which it starts, which is the fault; it now waits for a second, and its bounds are as they were.

--- a/core/routers/front/front_test.go
+++ b/core/routers/front/front_test.go
@@ -338,6 +338,9 @@
 func TestTeamRateLimit(t *testing.T) {
 	s := newInstance(t, 1, respondSealed)
 	s.setIntent(t, 2, func(c *intent.Content) { c.Teams[0].Rate, c.Teams[0].Burst = 1, 1 })
+	s.keepConfirmed(t)
+	// A new process admits nothing before it accrues, as its predecessor may have used the whole limit just before.
+	time.Sleep(time.Second)
 	counts := map[int]int{}
 	for range 30 {
 		response, _ := s.send(t, http.MethodGet, "/read/x", "")
@@ -346,7 +349,7 @@
 			t.Error("refusal has no Retry-After header")
 		}
 	}
-	// The limit is rate times window plus burst plus slack, 5+1+5 requests, of which a new process uses only a fraction.
+	// The limit is rate times window plus burst plus slack, 5+1+5 requests.
 	if counts[200] == 0 || counts[200] > 11 || counts[429] == 0 {
 		t.Errorf("got counts by status %v, want 1 to 11 of 200 and some of 429", counts)
 	}
--- a/core/services/allowance/allowance.go
+++ b/core/services/allowance/allowance.go
@@ -3,10 +3,12 @@
 //
 // Each instance enforces an equal share of every limit in a sliding window, without communicating with other instances.
 // An instance that is partitioned from the others continues with its share. Shares shrink at once when instances join,
-// and grow only after instances that left must have stopped.
+// and grow only after instances that left must have stopped. A process that is killed and its successor together keep the share of
+// one: the successor does not know what has been used, and uses only what no predecessor can have used (localLimit).
 package allowance
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -28,13 +30,15 @@
 const (
 	// overRateRatio is the ratio of offered requests to the window limit above which a team is paced.
 	overRateRatio = 1.5
-	// suddenRateRatio is the ratio of the requests offered within a second to a team's rate, beyond its burst, above which it is paced
-	// at once. Up to minSudden requests are never paced at once, as so few arrive together by chance.
-	suddenRateRatio = 1.2
-	minSudden       = 10
 	// overRateBurstFraction is the fraction of its burst that a paced team may use, as requests beyond its rate take
 	// capacity from other teams.
 	overRateBurstFraction = 0.2
+	// minBurst is the number of requests that an instance admits at once at least.
+	minBurst = 2
+	// maxIntervals bounds the number of intervals that are checked for a request.
+	maxIntervals = 256
+	// forever is longer than any window.
+	forever = math.MaxInt64 * time.Nanosecond
 )
 
 // RateLimiter enforces one instance's share of all rate limits. It is safe for concurrent use.
@@ -56,15 +60,12 @@
 	// offered is the number of requests, including refused ones, decaying linearly over a window; as of offeredAt.
 	offered   float64
 	offeredAt time.Time
-	// recent is like offered, decaying over a second.
-	recent float64
 	// resumedAt is when the equal split began to apply to the team again, resumedRate the requests per second that it may admit in
 	// the window after that; zero if it has always applied.
 	resumedAt   time.Time
 	resumedRate float64
 	// paceTokens is the level of a token bucket that spreads requests over the window while the team is far over its
-	// rate; as of offeredAt. It is negative after more requests, which a process that is killed must not admit much faster than
-	// the rate: its successor does not know of them.
+	// rate; as of offeredAt. It is negative after more requests.
 	paceTokens float64
 }
 
@@ -99,47 +100,87 @@
 		l.teams[t.Name] = usage
 	}
 	window := l.policy.Window
-	windowLimit, paceRate, burst := l.localLimits(t)
-	overRateLimit := overRateRatio * windowLimit
-	suddenLimit := max(minSudden, windowLimit-(window.Seconds()-suddenRateRatio)*paceRate)
-	if age := now.Sub(l.started); age < window {
-		// The previous process may have used its share just before the restart, so a new one gets only what accrues.
-		windowLimit = max(1, min(windowLimit, paceRate*age.Seconds()))
-	}
-	if since := now.Sub(usage.resumedAt); !usage.resumedAt.IsZero() && since < window {
-		windowLimit = min(windowLimit, usage.resumedRate*max(0, since.Seconds()))
-	}
+	limit := l.localLimit(t)
 	if !known {
-		usage.paceTokens = burst
+		usage.paceTokens = limit.paceBurst
 	}
 	elapsed := now.Sub(usage.offeredAt)
-	usage.paceTokens = min(burst, usage.paceTokens+paceRate*elapsed.Seconds())
+	usage.paceTokens = min(limit.paceBurst, usage.paceTokens+limit.paceRate*elapsed.Seconds())
 	usage.offered = 1 + usage.offered*max(0, 1-elapsed.Seconds()/window.Seconds())
-	usage.recent = 1 + usage.recent*max(0, 1-elapsed.Seconds())
 	usage.offeredAt = now
 	l.dropOld(usage, now)
-	if (usage.offered > overRateLimit || usage.recent > suddenLimit) && usage.paceTokens < 1 {
-		return false, min(window, time.Duration((1-usage.paceTokens)/paceRate*float64(time.Second)))
+	if usage.offered > overRateRatio*limit.inWindow && usage.paceTokens < 1 {
+		return false, min(window, time.Duration((1-usage.paceTokens)/limit.paceRate*float64(time.Second)))
 	}
-	if float64(len(usage.admitted))+1 > windowLimit {
-		if len(usage.admitted) == 0 {
-			return false, window
-		}
-		return false, window - now.Sub(usage.admitted[0])
+	if wait := l.wait(usage, limit, now); wait > 0 {
+		return false, min(window, wait)
 	}
 	usage.admitted = append(usage.admitted, now)
 	usage.paceTokens--
 	return true, 0
 }
 
-// localLimits returns this instance's window limit for a team, and the rate and burst of the token bucket that applies
-// when the team is far over its rate.
-func (l *RateLimiter) localLimits(t intent.Team) (windowLimit, paceRate, burst float64) {
+// localLimit is an instance's part of a team's limit. Any interval of t seconds, up to a window, has at most burst + rate x t requests,
+// and a new process admits at most rate x its age until it is a window old. So an interval that begins before a process is killed and
+// ends in the lifetime of a successor has at most burst + rate x t requests as well.
+type localLimit struct {
+	// burst is the number of requests that may be admitted at once, rate that in a second besides.
+	burst, rate float64
+	// inWindow is the number of requests in a window, burst + rate x window.
+	inWindow float64
+	// paceRate and paceBurst are the rate and burst of the token bucket that applies when the team is far over its rate.
+	paceRate, paceBurst float64
+}
+
+// localLimit returns this instance's part of a team's limit.
+func (l *RateLimiter) localLimit(t intent.Team) localLimit {
 	n := l.instanceCount(time.Now())
-	tolerance := 1 + l.policy.Overrun
+	tolerance, seconds := 1+l.policy.Overrun, l.policy.Window.Seconds()
 	rate := t.Rate * tolerance
-	windowLimit = (rate*l.policy.Window.Seconds() + t.Burst*tolerance + l.policy.Slack) / n
-	return max(1, windowLimit), rate / n, max(1, overRateBurstFraction*t.Burst/n)
+	limit := localLimit{paceRate: rate / n, paceBurst: max(1, overRateBurstFraction*t.Burst/n)}
+	limit.inWindow = max(1, (rate*seconds+t.Burst*tolerance+l.policy.Slack)/n)
+	limit.burst = min(limit.inWindow, max(minBurst, limit.inWindow-limit.paceRate*seconds))
+	limit.rate = (limit.inWindow - limit.burst) / seconds
+	return limit
+}
+
+// wait returns the time until one more request is within the limit, zero if it is now.
+func (l *RateLimiter) wait(usage *teamUsage, limit localLimit, now time.Time) time.Duration {
+	count, window := len(usage.admitted), l.policy.Window
+	wait := time.Duration(0)
+	// A part of less than one request cannot be kept exactly: each process admits one.
+	if age := now.Sub(l.started); age < window && limit.inWindow > 1 {
+		wait = max(wait, timeUntil(float64(count+1), 0, limit.rate, age))
+	}
+	if since := now.Sub(usage.resumedAt); !usage.resumedAt.IsZero() && since < window {
+		wait = max(wait, timeUntil(float64(count+1), 0, usage.resumedRate, since))
+	}
+	// With many requests, several intervals are checked as one that begins with the first of their requests and has the length
+	// of the shortest one.
+	step := 1 + count/maxIntervals
+	for last := count - 1; last >= 0; last -= step {
+		age := now.Sub(usage.admitted[last])
+		if timeUntil(float64(count+1), limit.burst, limit.rate, age) == 0 {
+			break
+		}
+		first := max(0, last-step+1)
+		admissible := timeUntil(float64(count-first+1), limit.burst, limit.rate, age)
+		wait = max(wait, min(admissible, window-age+time.Nanosecond))
+	}
+	return wait
+}
+
+// timeUntil returns the time until a number of requests is at most burst + rate x t, t being age now; zero if it is now.
+func timeUntil(requests, burst, rate float64, age time.Duration) time.Duration {
+	missing := requests - burst - rate*max(0, age.Seconds())
+	switch {
+	case missing <= 0:
+		return 0
+	case rate <= 0:
+		return forever
+	default:
+		return max(1, time.Duration(missing/rate*float64(time.Second)))
+	}
 }
 
 // Refund undoes Allow for a request that certainly did not run.
--- a/core/services/ratepool/pool_test.go
+++ b/core/services/ratepool/pool_test.go
@@ -251,7 +251,7 @@
 			send(40, 17*time.Second)
 			time.Sleep(4 * time.Second)
 			set(alike)
-			// The list has been alike for long enough after 10 s. The split permits a whole window's requests at once after a quiet time.
+			// The list has been alike for long enough after 10 s. The split permits its burst at once after a quiet time.
 			time.Sleep(20 * time.Second)
 			send(9, 2*time.Second)
 			time.Sleep(2 * time.Second)
@@ -268,6 +268,36 @@
 	}
 }
 
+// TestKillOfAllDoesNotRenewTheLimit guards against a pool that is used twice around a kill of all processes, by those that are killed and
+// by their successors, which do not know what has been used.
+func TestKillOfAllDoesNotRenewTheLimit(t *testing.T) {
+	team := intent.Team{Name: "t", Rate: 30, Burst: 30}
+	for _, factor := range []float64{1.3, 2.6, 7.5} {
+		for before := 500 * time.Millisecond; before < 7*time.Second; before += time.Second {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 3, 4, team)
+				time.Sleep(8 * time.Second)
+				var running sync.WaitGroup
+				for _, i := range f.list {
+					running.Go(func() { f.flood(i.ID, team, factor*team.Rate/float64(len(f.list)), before+6*time.Second) })
+				}
+				time.Sleep(before)
+				for _, i := range f.list {
+					f.run(i)
+				}
+				running.Wait()
+				if got := f.worstWindow(); float64(got) > maxRequests(team) {
+					t.Errorf("%.1f times the rate, kill after %v: got %d requests in a window, want at most %.1f", factor, before, got,
+						maxRequests(team))
+				}
+				if got, want := f.countSince(f.start.Add(8*time.Second+before)), 0.75*4*team.Rate; float64(got) < want {
+					t.Errorf("%.1f times the rate, kill after %v: got %d requests in 6 s after it, want at least %.0f", factor, before, got, want)
+				}
+			})
+		}
+	}
+}
+
 // TestPlannedChangeOfParents guards against refusals each time the list of instances changes: the earlier collectors and the earlier
 // root still run, so what was delegated to them need not stay unused until the leases end. A change may interrupt a team for half a
 // second.
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -217,7 +217,7 @@
 			DrainWithin: 2 * time.Second, EvacuateWithin: 5 * time.Second, RegionShift: 0.15,
 		},
 		Placement: EdgePlacement{Objects: 40, Candidates: 6, RankCost: 0.05, DomainCost: 0.1, RegionCost: 0.2},
-		Rates:     EdgeRates{Pooling: true, MinPart: 4},
+		Rates:     EdgeRates{Pooling: true, MinPart: 20},
 		Requests: EdgeRequests{
 			HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, MaxTries: 4,
 			SafeIdle: 9 * time.Second, UnsafeIdle: 8 * time.Second, UrgentQueuePerSlot: 2, OtherQueuePerSlot: 1.5,
