allowance: a new process starts with a quarter of its share of the retry reserve

Each process after a kill had its whole share of the reserve of retries anew (BUDGET).

Cause: a retry budget began full, and 0.45 of the operators' reserve was used, which makes up for one restart of all instances within the time for which retries are counted, not for several.

Ruled out: budgets that start empty; the first request that a target refuses after a restart then cannot be sent to another one (front.TestPausedTargetGetsNoRequests failed).

Change: a budget starts with a quarter of the instance's share, and half of the reserve is used, so that the other half bears four kills of all processes.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -53,9 +53,9 @@
 	// a margin for random variation.
 	shiftRateFactor = 0.2
 	spillRateFactor = 0.4
-	// retryReserveFraction is the fraction of RetryReserve that is used, because a fleet that restarts starts with a full
-	// reserve again.
-	retryReserveFraction = 0.45
+	// retryReserveFraction is the fraction of RetryReserve that is used. The rest is for what new processes start with, which is a
+	// quarter of it each time that all are killed, and for instances that others no longer list.
+	retryReserveFraction = 0.5
 	// retryRatioFraction is the fraction of RetryRatio that is used.
 	retryRatioFraction = 0.75
 	// overrunFraction and slackFraction are the fractions of RateOverrun and RateSlack that are used.
--- a/core/services/allowance/retries.go
+++ b/core/services/allowance/retries.go
@@ -18,10 +18,15 @@
 
 	mu        sync.Mutex
 	instances int
-	// balances is keyed by service. A balance never exceeds the instance's share of the reserve.
+	// balances is keyed by service. A balance never exceeds the instance's share of the reserve. It starts with initialFraction of
+	// it, because a predecessor that was killed may have used the share just before.
 	balances map[string]float64
 }
 
+// initialFraction is the fraction of the instance's share of the reserve with which a new process starts, so that the first requests
+// after a restart can be sent to a second target.
+const initialFraction = 0.25
+
 // NewRetryBudget returns the retry budget of an instance that knows of no other instances.
 func NewRetryBudget(p RetryPolicy) *RetryBudget {
 	return &RetryBudget{policy: p, instances: 1, balances: map[string]float64{}}
@@ -42,7 +47,7 @@
 	defer r.mu.Unlock()
 	balance, known := r.balances[service]
 	if !known {
-		balance = r.maxBalance()
+		balance = initialFraction * r.maxBalance()
 	}
 	r.balances[service] = min(r.maxBalance(), balance+r.policy.Ratio)
 }
