platform: follow a store that continues from a copy

In a drill the platform's store continues from a copy some seconds old and gives its revisions out again. An instance ignored all that was written after it until the revisions were as high as before: a key that was withdrawn after the drill worked on, a leaving target was used. What it had been told just before was taken back by the list of the copy.

Cause: changes were ordered by revisions alone, which count anew in each era.

Ruled out: a pair of era and revision as a type, which changes each comparison in seven packages and each message between instances for the same order.

Lost registrations and records of crashes are written again.

Store calls of whole fleets in a drill were not measured.

--- a/core/services/crash/tally.go
+++ b/core/services/crash/tally.go
@@ -68,6 +68,8 @@
 	pending []Death
 	// changedAt is when the last death was recorded or learned of.
 	changedAt time.Time
+	// failedBefore holds the IDs of the trials that had not passed before StoreAgain. They still count, as the store may have lost them.
+	failedBefore []string
 	// trialAt is when this instance learned of the last trial that was granted.
 	trialAt time.Time
 	// trial is this instance's trial whose state the store does not have yet, or that is running; nil if there is none.
@@ -190,6 +192,23 @@
 	}
 }
 
+// StoreAgain makes the deaths that are known from the store updates again, as the store may have lost them. Trials that it has granted
+// have ended: passed ones lift nothing, the others still count as failed.
+func (t *Tally) StoreAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.suspects {
+		for _, trial := range s.stored.Trials {
+			if !trial.Passed && !slices.Contains(s.failedBefore, trial.ID) {
+				s.failedBefore = append(s.failedBefore, trial.ID)
+			}
+		}
+		s.pending, s.stored = s.deaths(), Record{}
+		s.settleTrial()
+	}
+	t.signal()
+}
+
 // Wake returns a channel that is signaled when there are updates for the store.
 func (t *Tally) Wake() <-chan struct{} { return t.wake }
 
--- a/core/services/crash/tally_test.go
+++ b/core/services/crash/tally_test.go
@@ -152,3 +152,28 @@
 		t.Errorf("got %d suspects, want at most 4096; blocked %v, want true", n, tally.IsBlocked(fingerprint))
 	}
 }
+
+// TestStoreAgain guards against deaths and failed trials that are forgotten because the store has lost the record of them.
+func TestStoreAgain(t *testing.T) {
+	f := crash.NewFingerprint([]byte("again"))
+	record := crash.Record{Revision: 9, Trials: []crash.Trial{{ID: "failed"}, {ID: "passed", Passed: true}}}
+	for n := range crash.MaxDeaths {
+		record.Deaths = append(record.Deaths, crash.Death{Target: fmt.Sprint("t-", n), Started: 1})
+	}
+	tally := crash.NewTally()
+	tally.Learn(f, record)
+	tally.StoreAgain()
+	if !tally.IsBlocked(f) {
+		t.Error("the request is no longer blocked")
+	}
+	updates := tally.Updates(10)
+	if len(updates) != 1 || len(updates[0].Deaths) != crash.MaxDeaths || updates[0].Revision != 0 {
+		t.Errorf("got updates %+v, want one with %d deaths and without a revision", updates, crash.MaxDeaths)
+	}
+	// The store has an earlier record, with the first death only.
+	tally.Learn(f, crash.Record{Revision: 20, Deaths: record.Deaths[:1]})
+	updates = tally.Updates(10)
+	if len(updates) != 1 || len(updates[0].Deaths) != crash.MaxDeaths || updates[0].Revision != 20 {
+		t.Errorf("got updates %+v after an earlier record, want one with %d deaths that replaces it", updates, crash.MaxDeaths)
+	}
+}
--- a/core/services/crash/trial.go
+++ b/core/services/crash/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -145,10 +146,12 @@
 
 // countTrials returns the number of trials that were not passed, or not yet, and of those that were.
 func (s *tallied) countTrials() (failed, passed int) {
+	failed = len(s.failedBefore)
 	for _, t := range s.stored.Trials {
-		if t.Passed {
+		switch {
+		case t.Passed:
 			passed++
-		} else {
+		case !slices.Contains(s.failedBefore, t.ID):
 			failed++
 		}
 	}
