--- a/core/services/relay/relay.go
+++ b/core/services/relay/relay.go
@@ -42,6 +42,8 @@
 	Log, Position uint64
 	// Revision is the store's revision up to which the follower knows every change.
 	Revision uint64
+	// Wait is the longest time for which the leader waits for changes, if it is shorter than Config.Wait and not zero.
+	Wait time.Duration
 }
 
 // PollResponse is the response to a PollRequest. Its fields are encoded with gob and keep their names.
@@ -112,7 +114,11 @@
 	if !ok {
 		return PollResponse{Lost: true}
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, r.Wait)
+	wait := r.Wait
+	if request.Wait > 0 {
+		wait = min(wait, request.Wait)
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return t.waitForChanges(waitCtx, request)
 }
--- a/core/services/relay/topic.go
+++ b/core/services/relay/topic.go
@@ -46,12 +46,17 @@
 // Poll polls the leader for changes after revision, up to which this instance knows every change. It returns false if
 // the store must be polled instead. It must not be called concurrently.
 func (t *Topic) Poll(ctx context.Context, revision uint64) (PollResponse, bool) {
+	return t.PollWithin(ctx, revision, 0)
+}
+
+// PollWithin is like Poll, but the leader waits for changes at most for a time, or for as long as Poll does if it is zero.
+func (t *Topic) PollWithin(ctx context.Context, revision uint64, wait time.Duration) (PollResponse, bool) {
 	leader, ok := t.leader()
 	if !ok {
 		return PollResponse{}, false
 	}
 	response, ok := t.relay.pollLeader(ctx, leader, PollRequest{
-		Topic: t.name, Log: t.position.log, Position: t.position.number, Revision: revision,
+		Topic: t.name, Log: t.position.log, Position: t.position.number, Revision: revision, Wait: wait,
 	})
 	if !ok {
 		return PollResponse{}, false
