target: reset the connection of an attempt that is given up

Cause: its connection was closed. The kernel goes on sending what is in the buffers of a closed connection, and discards it if the connection is reset.

Change: an exchange that fails, is cancelled or is over its deadline resets its connection. Connections are closed as before when a response is complete.

--- a/core/services/target/connection.go
+++ b/core/services/target/connection.go
@@ -48,13 +48,13 @@
 	return n, err
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *stickyErrorConn) SyscallConn() (syscall.RawConn, error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.ErrUnsupported
+// Reset closes the connection and discards what has not been sent. In what Close leaves behind, a request that is given up could reach
+// its target much later.
+func (c *stickyErrorConn) Reset() error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
 	}
-	return raw.SyscallConn()
+	return c.Close()
 }
 
 // endsStream reports whether an error of a write means that the kernel has ended the connection before the end of the stream was
--- a/core/services/target/exchange.go
+++ b/core/services/target/exchange.go
@@ -165,7 +165,7 @@
 		_ = c.Close()
 		return nil, &ErrNotSent{Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Reset() })
 	source := &bodySource{Reader: x.Request.Rest}
 	writeResult, err := c.startWriting(x, source)
 	if err != nil {
@@ -182,7 +182,7 @@
 			err = failure
 		}
 		stop()
-		_ = c.Close()
+		_ = c.Reset()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -193,7 +193,7 @@
 	}
 	if response.Rest != nil {
 		// Whoever reads the body may be waiting for a caller that does not read; the target must not wait with it.
-		expiry := time.AfterFunc(time.Until(x.Deadline), func() { _ = c.Close() })
+		expiry := time.AfterFunc(time.Until(x.Deadline), func() { _ = c.Reset() })
 		response.Rest = &streamedBody{Reader: response.Rest, closeConn: func() { stop(); expiry.Stop(); _ = c.Close() }}
 		return response, nil
 	}
--- a/core/services/target/pool.go
+++ b/core/services/target/pool.go
@@ -47,7 +47,7 @@
 
 // conn is a connection to a target.
 type conn struct {
-	net.Conn
+	*stickyErrorConn
 	// reader buffers what bound lets through.
 	reader *bufio.Reader
 	bound  *boundedReader
@@ -115,9 +115,9 @@
 }
 
 func newConn(netConn net.Conn) *conn {
-	netConn = &stickyErrorConn{Conn: netConn}
-	bound := &boundedReader{source: netConn}
-	return &conn{Conn: netConn, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}
+	c := &stickyErrorConn{Conn: netConn}
+	bound := &boundedReader{source: c}
+	return &conn{stickyErrorConn: c, reader: bufio.NewReader(bound), bound: bound, idleLimit: defaultIdleLimit}
 }
 
 // pop returns the most recently used idle connection of an address that has not carried the ID, or nil. A
--- a/core/services/target/reset_test.go
+++ b/core/services/target/reset_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,3 +134,31 @@
 	}
 	sending.Wait()
 }
+
+// TestAttemptThatIsGivenUpIsReset guards against a request that is given up while the network holds it back, and that is delivered and
+// runs later: bytes of a connection that is closed in order are still sent, those of one that is reset are not.
+func TestAttemptThatIsGivenUpIsReset(t *testing.T) {
+	for name, giveUp := range map[string]func(x *target.Exchange, cancel context.CancelFunc){
+		"caller leaves": func(_ *target.Exchange, cancel context.CancelFunc) { time.AfterFunc(resetDelay, cancel) },
+		"time is over":  func(x *target.Exchange, _ context.CancelFunc) { x.Deadline = time.Now().Add(resetDelay) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan error, 1)
+			address := startServer(t, func(c net.Conn, _ int) {
+				_, err := io.Copy(io.Discard, c)
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			x := newExchange(address, "r")
+			giveUp(&x, cancel)
+			if _, err := target.NewPool().Do(ctx, x); err == nil {
+				t.Error("got a response, want an error")
+			}
+			if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the target sees the end of its connection with error %v, want a reset", err)
+			}
+		})
+	}
+}
