placement: test cold targets around several restarts

The allowance of cold targets is one of those that a process starts with. Three restarts of all instances within 1.2 s stay within the bound: the new case of TestColdTargetsAreUsed passes, without a change of the code.

--- a/core/services/placement/cold_test.go
+++ b/core/services/placement/cold_test.go
@@ -44,6 +44,14 @@
 				f.start(n)
 			}
 		},
+		"instances restart several times": func(f *limitFleet) {
+			for range 3 {
+				for n := range f.fixtures {
+					f.start(n)
+				}
+				f.run(400*time.Millisecond, always)
+			}
+		},
 		"instances are cut off and come back": func(f *limitFleet) {
 			for wave := range 2 {
 				f.tellOfLoss(func(n int) bool { return n%3 <= wave }, policy.OwnerTimeout)
